--- a/src/choice.rs
+++ b/src/choice.rs
@@ -74,6 +74,8 @@
 const RETRY_SAVED: f64 = 10.0;
 /// The least health of a backend: keeps trials going.
 const HEALTH_FLOOR: f64 = 0.02;
+/// Health under which a backend counts as avoided: two failures in a row, of late.
+const SHUNNED: f64 = 0.25;
 /// Milliseconds in which an untried backend's health comes back, after one failure; doubles with each more.
 const HEAL_MS: Millis = 5_000.0;
 /// Mean deviations over the mean latency after which one attempt is given up for another: giving up early
@@ -404,6 +406,15 @@
         }
     }
 
+    /// How many backends are listed, and how many of those the pick now avoids: they are not ready, or so ill
+    /// that they get little more than trials.
+    pub fn listed(&self, now: Millis) -> (usize, usize) {
+        let listed = self.backends.iter().filter(|b| b.info.state != BackendState::Gone);
+        let avoided =
+            listed.clone().filter(|b| b.info.state != BackendState::Ready || b.health.read(now) < SHUNNED);
+        (listed.count(), avoided.count())
+    }
+
     // ---- discovery ----
 
     fn on_list(&mut self, kind: ListKind, list: &[BackendInfo], actions: &mut Vec<Action>) {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -15,6 +15,8 @@
 pub struct Config {
     /// Where callers connect.
     pub listen: SocketAddr,
+    /// Where the operators connect, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// For the module's random numbers.
@@ -32,6 +34,7 @@
 #[derive(Deserialize)]
 struct Raw {
     listen: Option<String>,
+    admin_addr: Option<String>,
     discovery: Option<String>,
     seed: String,
     #[serde(default)]
@@ -69,14 +72,19 @@
 }
 
 fn parse(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let raw: Raw = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    let address = |variable: &str, key: &str, own: Option<String>| {
-        let text = env(variable).or(own).ok_or(format!("{key}: it is missing"))?;
+    let raw: Raw = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(text))
+        .map_err(|e| e.to_string())?;
+    let parsed = |key: &str, text: String| {
         text.parse::<SocketAddr>().map_err(|_| format!("{key}: {text:?} is not an address"))
     };
+    let address = |variable: &str, key: &str, own: Option<String>| {
+        parsed(key, env(variable).or(own).ok_or(format!("{key}: it is missing"))?)
+    };
+    let admin = env("NODE_ADMIN_ADDR").or(raw.admin_addr);
     let seed = u64::from_str_radix(&raw.seed, 16);
     Ok(Config {
         listen: address("NODE_LISTEN", "listen", raw.listen)?,
+        admin: admin.map(|text| parsed("admin_addr", text)).transpose()?,
         discovery: address("NODE_DISCOVERY", "discovery", raw.discovery)?,
         seed: seed.map_err(|_| format!("seed: {:?} is not a number in hexadecimal", raw.seed))?,
         sockets: raw.limits.sockets.unwrap_or(USUAL_SOCKETS),
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,7 +6,8 @@
 use super::config::Config;
 use super::discovery::{self, Directory, List};
 use super::io::log;
-use super::upstream::{Answer, Ended, Inbound, Upstream};
+use super::metrics::{Cluster, Metrics};
+use super::upstream::{Answer, Ended, Inbound, Outbound, Upstream};
 use hyper::StatusCode;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
@@ -76,6 +77,7 @@
 }
 
 struct Open {
+    class: u8,
     inbound: Rc<Inbound>,
     deadline: Instant,
     /// Taken by the final answer; empty from then on, and once the caller has left.
@@ -106,6 +108,7 @@
     me: Weak<Driver>,
     clock: Clock,
     upstream: Rc<Upstream>,
+    metrics: Rc<Metrics>,
     discovery: Cell<SocketAddr>,
     must_subscribe: bool,
     max_attempts: u32,
@@ -117,12 +120,18 @@
 
 impl Driver {
     /// Starts the module on the list that the configuration knows, and the watch on discovery.
-    pub fn start(config: Config, upstream: Rc<Upstream>, max_open: usize) -> Rc<Driver> {
+    pub fn start(
+        config: Config,
+        upstream: Rc<Upstream>,
+        metrics: Rc<Metrics>,
+        max_open: usize,
+    ) -> Rc<Driver> {
         let settings = config.settings;
         let driver = Rc::new_cyclic(|me| Driver {
             me: me.clone(),
             clock: Clock::new(),
             upstream,
+            metrics,
             discovery: Cell::new(config.discovery),
             must_subscribe: settings.must_subscribe,
             max_attempts: settings.allowed.max_attempts.min(u32::from(u8::MAX)),
@@ -162,6 +171,12 @@
         self.listed.get()
     }
 
+    /// The backends as the module sees them.
+    pub fn cluster(&self) -> Cluster {
+        let (size, unhealthy) = self.state.borrow().balancer.listed(self.clock.now());
+        Cluster { size, unhealthy }
+    }
+
     // ---- what happens ----
 
     fn take_list(&self, list: &List, kind: Option<ListKind>) {
@@ -190,6 +205,7 @@
         state.next_id += 1;
         let (answer, receiver) = oneshot::channel();
         let open = Open {
+            class: asked.class,
             inbound: Rc::new(inbound),
             deadline: asked.deadline,
             answer: Some(answer),
@@ -350,7 +366,7 @@
         let sent = Instant::now();
         let deadline = open.deadline;
         let most = if timeout_ms == 0.0 { span(SPAN_MOST) } else { span(timeout_ms) };
-        let (me, inbound) = (self.me.clone(), open.inbound.clone());
+        let (me, inbound, sends) = (self.me.clone(), open.inbound.clone(), self.metrics.sends(open.class));
         spawn_local(async move {
             let Some(driver) = me.upgrade() else { return };
             // All goes by the list as it is when the first byte is about to leave, or when the connection would
@@ -364,8 +380,8 @@
                 state.open.get(&request).is_some_and(|open| open.answer.is_some())
             };
             let upstream = driver.upstream.clone();
-            let attempt =
-                upstream.attempt(backend, place.address, &inbound, (deadline, most), may_write, still_there);
+            let outbound = Outbound { inbound: &inbound, deadline, most, sends };
+            let attempt = upstream.attempt(backend, place.address, outbound, may_write, still_there);
             let ended = tokio::select! {
                 biased;
                 ended = attempt => ended,
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -1,6 +1,7 @@
 //! The thin wrapper between hyper and a TCP stream. It stamps the last read, from which deadlines run, and
 //! follows a request on its way out, so that it is known whether the last byte of it was written.
 
+use super::metrics::Counter;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -34,10 +35,25 @@
     bytes: usize,
     matched: usize,
     body_left: usize,
+    /// Raised once all is written.
+    sends: Option<Counter>,
 }
 
 impl Written {
+    fn is_whole(&self) -> bool {
+        self.matched == HEAD_END.len() && self.body_left == 0
+    }
+
     fn add(&mut self, bytes: &[u8]) {
+        self.follow(bytes);
+        if self.is_whole() {
+            if let Some(sends) = self.sends.take() {
+                sends.set(sends.get() + 1);
+            }
+        }
+    }
+
+    fn follow(&mut self, bytes: &[u8]) {
         self.bytes += bytes.len();
         for (at, byte) in bytes.iter().enumerate() {
             if self.matched == HEAD_END.len() {
@@ -92,9 +108,9 @@
         self.stuck.get()
     }
 
-    /// A request with a body of so many bytes is about to be written.
-    pub fn begin_request(&self, body: usize) {
-        *self.written.borrow_mut() = Written { body_left: body, ..Written::default() };
+    /// A request with a body of so many bytes is about to be written; `sends` is raised once it is.
+    pub fn begin_request(&self, body: usize, sends: Counter) {
+        *self.written.borrow_mut() = Written { body_left: body, sends: Some(sends), ..Written::default() };
     }
 
     /// Whether any byte of the request was written.
@@ -104,8 +120,7 @@
 
     /// Whether the last byte of the request was written.
     pub fn request_whole(&self) -> bool {
-        let written = self.written.borrow();
-        written.matched == HEAD_END.len() && written.body_left == 0
+        self.written.borrow().is_whole()
     }
 
     /// Whether the peer holds the connection open and has sent nothing that is still unread. Asks the
@@ -172,12 +187,13 @@
 
     #[test]
     fn a_request_is_whole_only_with_its_last_body_byte() {
-        let mut written = Written { body_left: 3, ..Written::default() };
+        let sends = Counter::default();
+        let mut written = Written { body_left: 3, sends: Some(sends.clone()), ..Written::default() };
         for part in [&b"POST / HTTP/1.1\r\nA: b\r"[..], b"\n\r", b"\nab"] {
             written.add(part);
-            assert!(written.matched < HEAD_END.len() || written.body_left > 0);
+            assert!(!written.is_whole() && sends.get() == 0);
         }
         written.add(b"c");
-        assert_eq!((written.matched, written.body_left), (HEAD_END.len(), 0));
+        assert!(written.is_whole() && sends.get() == 1);
     }
 }
--- /dev/null
+++ b/src/net/lifecycle.rs
@@ -0,0 +1,101 @@
+//! Whether this process takes clients: one state that `/up`, the second address, keep-alive, the closing of
+//! idle connections and SIGTERM all go by.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long a drain leaves kept connections alone: the front asks every 0.1 s and sends new connections for
+/// 0.2 s more, and callers turned away before that would come straight back.
+const DRAIN_NOTICE: Duration = Duration::from_millis(400);
+
+/// The states of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It takes clients.
+    Serving,
+    /// It is being emptied and goes on running; it may take clients again.
+    Draining,
+    /// It ends once all that it has taken is answered.
+    Stopping,
+}
+
+/// The state, and since when.
+pub struct Lifecycle {
+    phase: Cell<Phase>,
+    since: Cell<Instant>,
+    /// How long a stop leaves kept connections alone.
+    stop_notice: Cell<Duration>,
+}
+
+impl Lifecycle {
+    /// A process that serves.
+    pub fn new() -> Rc<Lifecycle> {
+        Rc::new(Lifecycle {
+            phase: Cell::new(Phase::Serving),
+            since: Cell::new(Instant::now()),
+            stop_notice: Cell::default(),
+        })
+    }
+
+    /// The present state.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    fn enter(&self, phase: Phase) {
+        if self.phase.replace(phase) != phase {
+            self.since.set(Instant::now());
+        }
+    }
+
+    /// Begins a drain; false if the process is stopping, which can't be taken back.
+    pub fn drain(&self) -> bool {
+        let may = self.phase() != Phase::Stopping;
+        if may {
+            self.enter(Phase::Draining);
+        }
+        may
+    }
+
+    /// Takes a drain back; false if the process is stopping.
+    pub fn rejoin(&self) -> bool {
+        let may = self.phase() != Phase::Stopping;
+        if may {
+            self.enter(Phase::Serving);
+        }
+        may
+    }
+
+    /// Begins the end. Kept connections are left alone for so long.
+    pub fn stop(&self, notice: Duration) {
+        self.stop_notice.set(notice);
+        self.enter(Phase::Stopping);
+    }
+
+    /// Whether connections are now to be closed as they fall idle.
+    pub fn closes_idle(&self) -> bool {
+        let notice = match self.phase() {
+            Phase::Serving => return false,
+            Phase::Draining => DRAIN_NOTICE,
+            Phase::Stopping => self.stop_notice.get(),
+        };
+        self.since.get().elapsed() >= notice
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_drain_can_be_taken_back_and_a_stop_cannot() {
+        let lifecycle = Lifecycle::new();
+        assert!(lifecycle.drain() && lifecycle.phase() == Phase::Draining);
+        assert!(!lifecycle.closes_idle(), "callers are first given notice");
+        assert!(lifecycle.rejoin() && lifecycle.phase() == Phase::Serving);
+        lifecycle.stop(Duration::ZERO);
+        assert!(!lifecycle.rejoin() && !lifecycle.drain() && lifecycle.closes_idle());
+        assert_eq!(lifecycle.phase(), Phase::Stopping);
+    }
+}
--- a/src/net/limits.rs
+++ b/src/net/limits.rs
@@ -6,8 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Descriptors kept for the listener, discovery, the runtime and the standard streams.
+/// Descriptors kept for the listeners, discovery, the runtime, the standard streams and the second address.
 const RESERVED_SOCKETS: usize = 32;
+/// The most calls open at once at the second address; the descriptors for them are kept free.
+pub const ADMIN_MOST: usize = 12;
 /// Part of the memory that bodies and answers may take. On its way each byte is held up to three times: as it
 /// was read, as it is passed on, and in the buffer that is written.
 const BODY_PART: usize = 4;
--- /dev/null
+++ b/src/net/metrics.rs
@@ -0,0 +1,147 @@
+//! What has happened since the start and what is going on now, in figures for the operators.
+
+use std::cell::Cell;
+use std::fmt::Write;
+use std::rc::Rc;
+use umberridge::api::Class;
+
+/// A count that only rises.
+pub type Counter = Rc<Cell<u64>>;
+
+fn raise(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// A backend's answer went out whole.
+    Answered,
+    /// It was turned away; trying again is harmless.
+    Deferred,
+    /// It failed.
+    Errored,
+}
+
+#[derive(Default)]
+struct OfClass {
+    name: String,
+    answered: Cell<u64>,
+    deferred: Cell<u64>,
+    errored: Cell<u64>,
+    sends: Counter,
+}
+
+/// What the proxy knows of its backends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Cluster {
+    /// Backends in the list.
+    pub size: usize,
+    /// Those of them that are now avoided.
+    pub unhealthy: usize,
+}
+
+/// The figures of this process. All start at 0.
+pub struct Metrics {
+    classes: Vec<OfClass>,
+    current: Cell<u64>,
+}
+
+impl Metrics {
+    /// Figures for these classes.
+    pub fn new(classes: &[Class]) -> Rc<Metrics> {
+        let classes = classes.iter().map(|c| OfClass { name: c.name.clone(), ..OfClass::default() });
+        Rc::new(Metrics { classes: classes.collect(), current: Cell::new(0) })
+    }
+
+    /// A request of a class was taken; it is current until what this gives is dropped.
+    pub fn begin(self: &Rc<Metrics>, class: u8) -> InProgress {
+        raise(&self.current);
+        InProgress { metrics: self.clone(), class }
+    }
+
+    /// A request of a class ended.
+    pub fn count(&self, class: u8, how: Ending) {
+        let Some(class) = self.classes.get(usize::from(class)) else { return };
+        raise(match how {
+            Ending::Answered => &class.answered,
+            Ending::Deferred => &class.deferred,
+            Ending::Errored => &class.errored,
+        });
+    }
+
+    /// The count of attempts written whole, to be raised where that is seen.
+    pub fn sends(&self, class: u8) -> Counter {
+        self.classes.get(usize::from(class)).map(|class| class.sends.clone()).unwrap_or_default()
+    }
+
+    /// All figures, one a line.
+    pub fn render(&self, cluster: Cluster) -> String {
+        let mut text = String::new();
+        for class in &self.classes {
+            let counts = [
+                ("answered", &class.answered),
+                ("deferred", &class.deferred),
+                ("errored", &class.errored),
+                ("sends", &*class.sends),
+            ];
+            for (figure, count) in counts {
+                // Names come from the settings; a quote in one must not end the label.
+                let name = class.name.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
+                let _ = writeln!(text, "svc_{figure}{{group=\"{name}\"}} {}", count.get());
+            }
+        }
+        let _ = writeln!(text, "svc_current {}", self.current.get());
+        let _ = writeln!(text, "svc_cluster_size {}", cluster.size);
+        let _ = writeln!(text, "svc_cluster_unhealthy {}", cluster.unhealthy);
+        text
+    }
+}
+
+/// A request that was taken and has not ended. Dropped without a word, its client has left.
+pub struct InProgress {
+    metrics: Rc<Metrics>,
+    class: u8,
+}
+
+impl InProgress {
+    /// Counts how it ended.
+    pub fn end(self, how: Ending) {
+        self.metrics.count(self.class, how);
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.metrics.current.set(self.metrics.current.get() - 1);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_request_is_current_until_it_ends_and_counted_as_it_ended() {
+        let metrics = Rc::new(Metrics {
+            classes: vec![OfClass { name: "a\"b".into(), ..OfClass::default() }],
+            current: Cell::new(0),
+        });
+        let [first, second, left] = [0; 3].map(|class| metrics.begin(class));
+        first.end(Ending::Answered);
+        second.end(Ending::Errored);
+        metrics.count(0, Ending::Deferred);
+        raise(&metrics.sends(0));
+        let cluster = Cluster { size: 7, unhealthy: 2 };
+        let of = |current: u32| {
+            format!(
+                "svc_answered{{group=\"a\\\"b\"}} 1\nsvc_deferred{{group=\"a\\\"b\"}} 1\n\
+                 svc_errored{{group=\"a\\\"b\"}} 1\nsvc_sends{{group=\"a\\\"b\"}} 1\n\
+                 svc_current {current}\nsvc_cluster_size 7\nsvc_cluster_unhealthy 2\n"
+            )
+        };
+        assert_eq!(metrics.render(cluster), of(1));
+        drop(left);
+        assert_eq!(metrics.render(cluster), of(0));
+    }
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,11 +3,13 @@
 use super::discovery::hash;
 use super::driver::{Asked, Driver, Final};
 use super::io::{out_of_descriptors, Io, Wire};
+use super::lifecycle::{Lifecycle, Phase};
 use super::limits::{self, Limits, Taken, BODY_MOST, CALLER_IDLE, READ_AHEAD, REQUEST_TIME};
+use super::metrics::{Ending, InProgress, Metrics};
 use super::upstream::{Inbound, Upstream, TIMEOUT_HEADER};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
@@ -16,7 +18,9 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -28,7 +32,10 @@
 const UP_KNOWN: Duration = Duration::from_millis(1_000);
 const UP_ANYWAY: Duration = Duration::from_millis(4_000);
 /// How often connections are looked after.
-const TIDY: Duration = Duration::from_millis(250);
+const TIDY: Duration = Duration::from_millis(100);
+/// How long a connection must have been idle to be closed by a drain or a stop: one that has just come may be
+/// about to ask.
+const REST: Duration = Duration::from_millis(250);
 /// When a caller that there is no room for may come back.
 const NO_ROOM_MS: f64 = 500.0;
 /// How long a connection that is to close may take over what it has begun.
@@ -46,7 +53,41 @@
 
 const REQUEST_ID: &str = "request-id";
 
-type Reply = Response<Full<Bytes>>;
+type Reply = Response<Replied>;
+
+/// The body of a reply. It counts the request as ended once all of it has gone to the connection.
+struct Replied {
+    body: Full<Bytes>,
+    open: Option<(InProgress, Ending)>,
+}
+
+impl Body for Replied {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Replied {
+    fn drop(&mut self) {
+        if let Some((open, how)) = self.open.take().filter(|_| self.body.is_end_stream()) {
+            open.end(how);
+        }
+    }
+}
 
 /// How far the end of a caller's connection has come.
 #[derive(Clone, Copy, PartialEq)]
@@ -106,8 +147,8 @@
     next: Cell<u64>,
     started: Instant,
     knows_some: bool,
-    /// When a stopping proxy closes connections; `None` while it goes on.
-    closing_from: Cell<Option<Instant>>,
+    lifecycle: Rc<Lifecycle>,
+    metrics: Rc<Metrics>,
 }
 
 impl Server {
@@ -116,6 +157,7 @@
         driver: Rc<Driver>,
         upstream: Rc<Upstream>,
         limits: Rc<Limits>,
+        (lifecycle, metrics): (Rc<Lifecycle>, Rc<Metrics>),
         settings: &Settings,
         knows_some: bool,
     ) -> Rc<Server> {
@@ -130,7 +172,8 @@
             next: Cell::new(0),
             started: Instant::now(),
             knows_some,
-            closing_from: Cell::new(None),
+            lifecycle,
+            metrics,
         })
     }
 
@@ -199,7 +242,7 @@
         loop {
             sleep(TIDY).await;
             self.close_overdue();
-            self.close_idle(CALLER_IDLE);
+            self.close_idle(if self.lifecycle.closes_idle() { REST } else { CALLER_IDLE });
             for caller in self.callers.borrow().values().filter(|c| !c.wire.is_stuck()) {
                 caller.last.take();
             }
@@ -207,21 +250,14 @@
         }
     }
 
-    fn is_closing(&self) -> bool {
-        self.closing_from.get().is_some_and(|from| Instant::now() >= from)
-    }
-
     /// The orderly end: returns when all that was taken is answered.
     pub async fn stop(&self) {
         let told = Instant::now();
         let longest = self.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max).min(STOP_DEADLINE_MOST);
         let most = Duration::from_secs_f64((longest + STOP_MORE) / 1000.0);
-        self.closing_from.set(Some(told + most / 2));
+        self.lifecycle.stop(most / 2);
         sleep(STOP_LEAST).await;
         while !self.callers.borrow().is_empty() && told.elapsed() < most {
-            if self.is_closing() {
-                self.close_idle(Duration::ZERO);
-            }
             sleep(Duration::from_millis(20)).await;
         }
         self.driver.close_all();
@@ -282,7 +318,7 @@
         caller.used.set(Instant::now());
         caller.wire.message_over();
         // What follows a bad request on its connection may be part of it, so nothing is read from there.
-        let close = answered.is_err() || self.is_closing();
+        let close = answered.is_err() || self.lifecycle.closes_idle();
         let mut reply = answered.unwrap_or_else(|(status, why)| plain(status, why));
         if close {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -311,6 +347,7 @@
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
         }
         let Some(room) = self.limits.bytes.take(length as usize) else {
+            self.metrics.count(asked.class, Ending::Deferred);
             return Ok(refusal(NO_ROOM_MS));
         };
         let body = body.collect().await.map_err(|_| (StatusCode::BAD_REQUEST, "the body is cut short"))?;
@@ -322,12 +359,13 @@
         let _open = OpenId::new(&self.open_ids, id).ok_or((StatusCode::CONFLICT, "the id is in use"))?;
         caller.taken.set(true);
         caller.proven.set(true);
+        let open = self.metrics.begin(asked.class);
         // The time runs from the request's last byte, which was the last thing read.
         asked.deadline = caller.wire.last_read() + Duration::from_millis(timeout_ms.into());
         let deadline = asked.deadline;
         let inbound = Inbound { method: head.method, path, headers: head.headers, body };
         let Some((guard, mut answer)) = self.driver.request(asked, inbound) else {
-            return Ok(refusal(NO_ROOM_MS));
+            return Ok(ended(refusal(NO_ROOM_MS), open, Ending::Deferred));
         };
         let answer = match timeout_at((deadline + OVERDUE).into(), &mut answer).await {
             Ok(answer) => answer,
@@ -338,25 +376,36 @@
         };
         Ok(match answer {
             Ok(Final::Served(answer)) => {
-                let mut reply = Response::new(Full::new(answer.body.bytes.clone()));
+                let mut reply = Response::new(whole(answer.body.bytes.clone()));
                 caller.last.replace(Some(answer.body));
                 if let Some(kind) = answer.headers.get(CONTENT_TYPE) {
                     reply.headers_mut().insert(CONTENT_TYPE, kind.clone());
                 }
-                reply
+                ended(reply, open, Ending::Answered)
+            }
+            Ok(Final::Refused(after_ms)) => ended(refusal(after_ms), open, Ending::Deferred),
+            Ok(Final::Rejected(status)) => {
+                open.end(Ending::Errored);
+                return Err((status, "a backend found fault with it"));
+            }
+            Ok(Final::Failed) | Err(_) => {
+                ended(plain(StatusCode::BAD_GATEWAY, "failed"), open, Ending::Errored)
             }
-            Ok(Final::Refused(after_ms)) => refusal(after_ms),
-            Ok(Final::Rejected(status)) => return Err((status, "a backend found fault with it")),
-            Ok(Final::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
         })
     }
 
+    /// Whether calls can be served: there is a backend list, or none is to be had.
+    pub fn is_ready(&self) -> bool {
+        let most = if self.knows_some { UP_KNOWN } else { UP_ANYWAY };
+        self.driver.is_listed() || self.started.elapsed() >= most
+    }
+
     fn up(&self) -> Reply {
-        let waited = self.started.elapsed();
-        let ready = self.driver.is_listed() || waited >= if self.knows_some { UP_KNOWN } else { UP_ANYWAY };
-        match ready {
-            true => plain(StatusCode::OK, "ok"),
-            false => plain(StatusCode::SERVICE_UNAVAILABLE, "no backend list yet"),
+        match (self.lifecycle.phase(), self.is_ready()) {
+            (Phase::Serving, true) => plain(StatusCode::OK, "ok"),
+            (Phase::Serving, false) => plain(StatusCode::SERVICE_UNAVAILABLE, "no backend list yet"),
+            (Phase::Draining, _) => plain(StatusCode::SERVICE_UNAVAILABLE, "draining"),
+            (Phase::Stopping, _) => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
         }
     }
 
@@ -445,8 +494,18 @@
     }
 }
 
+fn whole(bytes: Bytes) -> Replied {
+    Replied { body: Full::new(bytes), open: None }
+}
+
+/// A reply with which a request ends.
+fn ended(mut reply: Reply, open: InProgress, how: Ending) -> Reply {
+    reply.body_mut().open = Some((open, how));
+    reply
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    let mut reply = Response::new(whole(Bytes::from_static(text.as_bytes())));
     *reply.status_mut() = status;
     reply
 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -2,6 +2,7 @@
 
 use super::io::{out_of_descriptors, Io, Wire};
 use super::limits::{Body, Limits, Taken, ANSWER_TIME, BODY_MOST, READ_AHEAD};
+use super::metrics::Counter;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
@@ -51,6 +52,18 @@
     pub body: Body,
 }
 
+/// One attempt of a request.
+pub struct Outbound<'a> {
+    /// The request.
+    pub inbound: &'a Inbound,
+    /// When its client leaves.
+    pub deadline: Instant,
+    /// How long the attempt may take.
+    pub most: Duration,
+    /// Raised when the last byte of the attempt is written.
+    pub sends: Counter,
+}
+
 /// A whole answer.
 pub struct Answer {
     /// Its headers.
@@ -241,18 +254,18 @@
         Ok(Conn { sender, protocol: Box::pin(protocol), wire, _counted: counted })
     }
 
-    /// One attempt of a request, which ends at its deadline or after `most`. `may_write` is asked right before
+    /// One attempt of a request, which ends at its deadline or after its `most`. `may_write` is asked right before
     /// the first byte goes out, and `still_there` then and before the connection is kept. When this returns, the
     /// request is no longer out on any open connection.
     pub async fn attempt(
         &self,
         backend: BackendId,
         address: SocketAddr,
-        inbound: &Inbound,
-        (deadline, most): (Instant, Duration),
+        outbound: Outbound<'_>,
         may_write: impl Fn() -> bool,
         still_there: impl Fn() -> bool,
     ) -> Ended {
+        let Outbound { inbound, deadline, most, sends } = outbound;
         let sent = Instant::now();
         let mut idle = self.take_idle(backend, address).await;
         // A rest just now does not count: a time-out may be as short as that.
@@ -275,8 +288,8 @@
             if left == 0 {
                 return Ended::now(Outcome::Moot);
             }
-            conn.wire.begin_request(inbound.body.bytes.len());
-            let exchange = conn.exchange(outbound(inbound, left), &self.limits);
+            conn.wire.begin_request(inbound.body.bytes.len(), sends.clone());
+            let exchange = conn.exchange(forward(inbound, left), &self.limits);
             let result = timeout_at(until.into(), exchange).await;
             if let Ok(Ok(Exchanged { status, headers, body })) = result {
                 let report = self.report(&headers);
@@ -395,7 +408,7 @@
     }
 }
 
-fn outbound(inbound: &Inbound, left_ms: u64) -> Request<Full<Bytes>> {
+fn forward(inbound: &Inbound, left_ms: u64) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(inbound.body.bytes.clone()));
     *request.method_mut() = inbound.method.clone();
     *request.uri_mut() = Uri::from(inbound.path.clone());
--- a/tests/proxy/harness.rs
+++ b/tests/proxy/harness.rs
@@ -1,7 +1,7 @@
 //! What a proxy stands between, in a few lines each: callers, backends and discovery, on loopback sockets
 //! with ports of the system's choice.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -244,6 +244,13 @@
         panic!("the proxy does not come up");
     }
 
+    /// Starts one with a second address, which is given too.
+    pub fn start_operated(config: &str) -> (Proxy, SocketAddr) {
+        let (listener, admin) = listen();
+        drop(listener);
+        (Proxy::start_by(&format!("NODE_ADMIN_ADDR={admin} exec \"$0\""), config), admin)
+    }
+
     fn comes_up(&mut self) -> bool {
         let end = Instant::now() + PATIENCE;
         while Instant::now() < end && self.child.try_wait().expect("its state").is_none() {
@@ -335,6 +342,21 @@
     answer(&stream)
 }
 
+/// What a second address answers to a line.
+pub fn operate(admin: SocketAddr, line: &str) -> String {
+    let mut stream = open(admin, line);
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer, then the end");
+    answer
+}
+
+/// A figure as a second address tells it.
+pub fn figure(admin: SocketAddr, name: &str) -> u64 {
+    let figures = operate(admin, "INFO\n");
+    let value = figures.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value.unwrap_or_else(|| panic!("{name} in {figures}")).parse().expect("a number")
+}
+
 /// Waits for something to become true.
 pub fn until(what: &str, mut is: impl FnMut() -> bool) {
     let end = Instant::now() + PATIENCE;
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 mod hostile;
+mod operate;
 use harness::*;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
