--- a/src/choice.rs
+++ b/src/choice.rs
@@ -326,6 +326,7 @@
 pub struct Balancer {
     settings: Settings,
     rng: Xoshiro256PlusPlus,
+    part: f64,
     now: Millis,
     backends: Vec<Backend>,
     index: FxHashMap<BackendId, usize>,
@@ -359,6 +360,7 @@
         let tenants = settings.tenants.len();
         Balancer {
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            part: 1.0,
             now: 0.0,
             backends: Vec::new(),
             index: FxHashMap::default(),
@@ -406,6 +408,12 @@
         }
     }
 
+    /// So many other balancers send for the same copy, as while one process takes over from another: this one
+    /// keeps to its part of the budget of cold backends.
+    pub fn share_with(&mut self, others: usize) {
+        self.part = 1.0 / (others + 1) as f64;
+    }
+
     /// How many backends are listed, and how many of those the pick now avoids: they are not ready, or so ill
     /// that they get little more than trials.
     pub fn listed(&self, now: Millis) -> (usize, usize) {
@@ -881,7 +889,7 @@
             return true;
         }
         let least = 2.0 / f64::from(self.settings.fleet_size);
-        let per_s = COLD_PART * rules.fall_multiple * (warmth * b.rating() * rate).max(least);
+        let per_s = self.part * COLD_PART * rules.fall_multiple * (warmth * b.rating() * rate).max(least);
         let passed = (self.now - b.cold_at).clamp(0.0, rules.fall_ms);
         b.cold_at = self.now;
         // What is saved and what comes in together must stay within the part of any one window.
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,7 @@
     pub mod config;
     pub mod discovery;
     pub mod driver;
+    pub mod handover;
     pub mod io;
     pub mod lifecycle;
     pub mod limits;
@@ -18,6 +19,7 @@
 use net::admin::Admin;
 use net::config::{self, Config};
 use net::driver::Driver;
+use net::handover::Handover;
 use net::lifecycle::Lifecycle;
 use net::limits::Limits;
 use net::metrics::Metrics;
@@ -25,17 +27,23 @@
 use net::upstream::Upstream;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
 
 fn environment(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
 
 async fn run(config: Config) -> Result<(), String> {
-    let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
+    let address = config.listen;
+    let listen = || net::io::listen(address).map_err(|e| format!("listen: {address}: {e}"));
+    let handover = Handover::meet(&std::env::temp_dir(), address).await;
+    // With an older process at the address, this one listens there only once it can serve.
+    let early = if handover.has_older() { None } else { Some(listen()?) };
     let admin = match config.admin {
         Some(address) => {
             Some(TcpListener::bind(address).await.map_err(|e| format!("admin_addr: {address}: {e}"))?)
@@ -64,13 +72,34 @@
     let state = (lifecycle.clone(), metrics.clone());
     let server = Server::new(driver.clone(), upstream, limits, state, &settings, knows_some);
     if let Some(listener) = admin {
-        let admin = Admin { lifecycle, metrics, driver, server: server.clone() };
+        let admin = Admin { lifecycle: lifecycle.clone(), metrics, driver, server: server.clone() };
         spawn_local(Rc::new(admin).serve(listener));
     }
-    spawn_local(server.clone().accept(listener));
+    if handover.has_older() {
+        server.share_with(1);
+    }
+    handover.start(server.clone());
     spawn_local(server.clone().tidy());
+    let listener = match early {
+        Some(listener) => listener,
+        None => {
+            let ready = async {
+                while !server.is_ready() {
+                    sleep(Duration::from_millis(5)).await;
+                }
+            };
+            tokio::select! {
+                () = ready => listen()?,
+                // Nothing was taken yet.
+                _ = term.recv() => return Ok(()),
+            }
+        }
+    };
+    lifecycle.serve();
+    spawn_local(server.clone().accept(listener));
     term.recv().await;
-    server.stop().await;
+    server.stop(handover.has_newer()).await;
+    handover.leave();
     Ok(())
 }
 
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -93,19 +93,19 @@
     }
 
     fn answer(&self, line: &[u8]) -> String {
-        let stopping = "400 stopping\n";
         match line {
             b"PING" => match (self.lifecycle.phase(), self.server.is_ready()) {
+                (Phase::Starting, _) => "400 starting\n",
                 (Phase::Serving, true) => "200 serving\n",
                 (Phase::Serving, false) => "400 no backend list yet\n",
                 (Phase::Draining, _) => "400 draining\n",
-                (Phase::Stopping, _) => stopping,
+                (Phase::Stopping, _) => "400 stopping\n",
             }
             .to_string(),
             b"INFO" => self.metrics.render(self.driver.cluster()) + "EOF\n",
             b"LAMEDUCK" if self.lifecycle.drain() => "200 draining\n".to_string(),
             b"REJOIN" if self.lifecycle.rejoin() => "200 serving\n".to_string(),
-            b"LAMEDUCK" | b"REJOIN" => stopping.to_string(),
+            b"LAMEDUCK" | b"REJOIN" => "400 starting or stopping\n".to_string(),
             _ => "400 not a call; there are PING, INFO, LAMEDUCK and REJOIN\n".to_string(),
         }
     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -171,6 +171,11 @@
         self.listed.get()
     }
 
+    /// Has the module keep to its part of what the rules count by proxy, with other processes beside it.
+    pub fn share_with(&self, others: usize) {
+        self.state.borrow_mut().balancer.share_with(others);
+    }
+
     /// The backends as the module sees them.
     pub fn cluster(&self) -> Cluster {
         let (size, unhealthy) = self.state.borrow().balancer.listed(self.clock.now());
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -7,18 +7,27 @@
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, Result, Write as _};
 use std::mem::MaybeUninit;
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Instant;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Writes a line to the log. Guards against the panic of `eprintln!` where nobody reads the log any more.
 pub fn log(line: impl std::fmt::Display) {
     let _ = writeln!(std::io::stderr(), "dewrun: {line}");
 }
 
+/// Listens at an address where another process of this proxy may listen too.
+pub fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Whether a call failed because this process, or the system, may open no more descriptors.
 pub fn out_of_descriptors(error: &std::io::Error) -> bool {
     const ENFILE: i32 = 23;
@@ -27,6 +36,8 @@
 }
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 const CHUNK: usize = 8 * 1024;
 
 /// How much of one request has been written.
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -12,6 +12,8 @@
 /// The states of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// It does not listen yet.
+    Starting,
     /// It takes clients.
     Serving,
     /// It is being emptied and goes on running; it may take clients again.
@@ -29,10 +31,10 @@
 }
 
 impl Lifecycle {
-    /// A process that serves.
+    /// A process that is about to serve.
     pub fn new() -> Rc<Lifecycle> {
         Rc::new(Lifecycle {
-            phase: Cell::new(Phase::Serving),
+            phase: Cell::new(Phase::Starting),
             since: Cell::new(Instant::now()),
             stop_notice: Cell::default(),
         })
@@ -49,18 +51,25 @@
         }
     }
 
-    /// Begins a drain; false if the process is stopping, which can't be taken back.
+    /// It listens now.
+    pub fn serve(&self) {
+        if self.phase() == Phase::Starting {
+            self.enter(Phase::Serving);
+        }
+    }
+
+    /// Begins a drain; false if the process does not serve yet, or is stopping, which can't be taken back.
     pub fn drain(&self) -> bool {
-        let may = self.phase() != Phase::Stopping;
+        let may = matches!(self.phase(), Phase::Serving | Phase::Draining);
         if may {
             self.enter(Phase::Draining);
         }
         may
     }
 
-    /// Takes a drain back; false if the process is stopping.
+    /// Takes a drain back; false if the process does not serve yet, or is stopping.
     pub fn rejoin(&self) -> bool {
-        let may = self.phase() != Phase::Stopping;
+        let may = matches!(self.phase(), Phase::Serving | Phase::Draining);
         if may {
             self.enter(Phase::Serving);
         }
@@ -76,7 +85,7 @@
     /// Whether connections are now to be closed as they fall idle.
     pub fn closes_idle(&self) -> bool {
         let notice = match self.phase() {
-            Phase::Serving => return false,
+            Phase::Starting | Phase::Serving => return false,
             Phase::Draining => DRAIN_NOTICE,
             Phase::Stopping => self.stop_notice.get(),
         };
@@ -91,11 +100,14 @@
     #[test]
     fn a_drain_can_be_taken_back_and_a_stop_cannot() {
         let lifecycle = Lifecycle::new();
+        assert!(!lifecycle.drain(), "there is nothing to drain yet");
+        lifecycle.serve();
         assert!(lifecycle.drain() && lifecycle.phase() == Phase::Draining);
         assert!(!lifecycle.closes_idle(), "callers are first given notice");
         assert!(lifecycle.rejoin() && lifecycle.phase() == Phase::Serving);
         lifecycle.stop(Duration::ZERO);
         assert!(!lifecycle.rejoin() && !lifecycle.drain() && lifecycle.closes_idle());
+        lifecycle.serve();
         assert_eq!(lifecycle.phase(), Phase::Stopping);
     }
 }
--- a/src/net/limits.rs
+++ b/src/net/limits.rs
@@ -26,25 +26,30 @@
 
 /// So much of something as may be held at once.
 pub struct Share {
-    most: usize,
+    most: Cell<usize>,
     held: Cell<usize>,
 }
 
 impl Share {
     fn new(most: usize) -> Rc<Share> {
-        Rc::new(Share { most, held: Cell::new(0) })
+        Rc::new(Share { most: Cell::new(most), held: Cell::new(0) })
     }
 
     /// Takes an amount until the result is dropped; `None` if so much is not left.
     pub fn take(self: &Rc<Share>, amount: usize) -> Option<Taken> {
-        let held = self.held.get().checked_add(amount).filter(|held| *held <= self.most)?;
+        let held = self.held.get().checked_add(amount).filter(|held| *held <= self.most.get())?;
         self.held.set(held);
         Some(Taken { share: self.clone(), amount })
     }
 
     /// How much there is in all.
     pub fn most(&self) -> usize {
-        self.most
+        self.most.get()
+    }
+
+    /// Whether more is held than there is, since there is less.
+    pub fn is_over(&self) -> bool {
+        self.held.get() > self.most.get()
     }
 }
 
@@ -76,6 +81,8 @@
 
 /// The limits of this process.
 pub struct Limits {
+    sockets: usize,
+    memory_mb: usize,
     /// Callers' connections.
     pub callers: Rc<Share>,
     /// Connections to backends.
@@ -87,13 +94,20 @@
 impl Limits {
     /// Shares out what the platform gives. Each open request holds a caller's connection and an upstream one.
     pub fn new(sockets: usize, memory_mb: usize) -> Rc<Limits> {
-        let side = sockets.saturating_sub(RESERVED_SOCKETS).max(2) / 2;
-        let bytes = memory_mb.saturating_mul(1 << 20) / BODY_PART;
-        Rc::new(Limits {
-            callers: Share::new(side),
-            upstream: Share::new(side),
-            bytes: Share::new(bytes.max(2 * BODY_MOST)),
-        })
+        let share = || Share::new(0);
+        let limits = Limits { sockets, memory_mb, callers: share(), upstream: share(), bytes: share() };
+        limits.share_with(0);
+        Rc::new(limits)
+    }
+
+    /// Keeps to this process's part, with so many others beside it that the limits hold for as well.
+    pub fn share_with(&self, others: usize) {
+        let processes = others + 1;
+        let side = (self.sockets / processes).saturating_sub(RESERVED_SOCKETS).max(2) / 2;
+        let bytes = self.memory_mb.saturating_mul(1 << 20) / BODY_PART / processes;
+        self.callers.most.set(side);
+        self.upstream.most.set(side);
+        self.bytes.most.set(bytes.max(2 * BODY_MOST));
     }
 }
 
@@ -110,4 +124,18 @@
         drop(first);
         assert!(share.take(7).is_some());
     }
+
+    #[test]
+    fn two_processes_together_hold_no_more_than_one() {
+        let (alone, shared) = (Limits::new(384, 48), Limits::new(384, 48));
+        let held = |l: &Limits| l.callers.most() + l.upstream.most() + RESERVED_SOCKETS;
+        let taken = shared.callers.take(alone.callers.most()).expect("there is room");
+        shared.share_with(1);
+        assert!(2 * held(&shared) <= 384 && 2 * shared.bytes.most() <= alone.bytes.most());
+        assert!(shared.callers.is_over() && shared.callers.take(1).is_none());
+        drop(taken);
+        assert!(!shared.callers.is_over());
+        shared.share_with(0);
+        assert_eq!(held(&shared), held(&alone));
+    }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -47,6 +47,8 @@
 /// closed as they fall idle. What is open at the end is failed, before it could be killed unanswered: that is
 /// no sooner than the longest deadline, 3 s at most, and 0.7 s more.
 const STOP_LEAST: Duration = Duration::from_millis(550);
+/// With a newer process none come: time for what the queue held.
+const STOP_HANDED_OVER: Duration = Duration::from_millis(100);
 const STOP_DEADLINE_MOST: f64 = 3_000.0;
 const STOP_MORE: f64 = 400.0;
 const STOP_LAST: Duration = Duration::from_millis(150);
@@ -149,6 +151,8 @@
     knows_some: bool,
     lifecycle: Rc<Lifecycle>,
     metrics: Rc<Metrics>,
+    /// Tells the accepting task to leave the address to another process.
+    leave: Notify,
 }
 
 impl Server {
@@ -174,26 +178,21 @@
             knows_some,
             lifecycle,
             metrics,
+            leave: Notify::new(),
         })
     }
 
-    /// Accepts for ever. Goes on while stopping: what the kernel has taken in counts as taken. Beyond the
-    /// callers' share a connection is taken only in place of another, so that a flood leaves the sockets that
-    /// attempts need alone.
+    /// Accepts until a newer process has the address to itself. Without one it goes on while stopping: what
+    /// the kernel has taken in counts as taken.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let mut counted = self.limits.callers.take(1);
-                    if counted.is_none() && self.shed() {
-                        // The one that gives way is closed in its own task.
-                        yield_now().await;
-                        counted = self.limits.callers.take(1);
-                    }
-                    if let Some(counted) = counted {
-                        spawn_local(self.clone().connection(stream, counted));
-                    }
-                }
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = self.leave.notified() => break,
+            };
+            match accepted {
+                Ok((stream, _)) => self.admit(stream).await,
                 // Guards against an end of the loop: out of descriptors, idle connections give way.
                 Err(e) if out_of_descriptors(&e) => {
                     let _ = self.shed() || self.upstream.shed();
@@ -203,6 +202,48 @@
                 Err(_) => sleep(Duration::from_millis(1)).await,
             }
         }
+        // What waits in the queue would be reset with the listener, so nothing may come between the last look
+        // and the close.
+        let mut waiting = Vec::new();
+        if let Ok(listener) = listener.into_std() {
+            while let Ok((stream, _)) = listener.accept() {
+                waiting.push(stream);
+            }
+        }
+        for stream in waiting {
+            if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+                self.admit(stream).await;
+            }
+        }
+    }
+
+    /// Takes a connection in. Beyond the callers' share that is only in place of another, so that a flood
+    /// leaves the sockets that attempts need alone.
+    async fn admit(self: &Rc<Self>, stream: TcpStream) {
+        let mut counted = self.limits.callers.take(1);
+        if counted.is_none() && self.shed() {
+            // The one that gives way is closed in its own task.
+            yield_now().await;
+            counted = self.limits.callers.take(1);
+        }
+        if let Some(counted) = counted {
+            spawn_local(self.clone().connection(stream, counted));
+        }
+    }
+
+    /// Keeps to a part of the proxy, with so many other processes beside this one.
+    pub fn share_with(&self, others: usize) {
+        self.limits.share_with(others);
+        self.driver.share_with(others);
+    }
+
+    /// Whether this process holds no more than its part; lets go what can be let go of first.
+    pub fn fits(&self) -> bool {
+        if self.limits.callers.is_over() {
+            self.shed();
+        }
+        while self.limits.upstream.is_over() && self.upstream.shed() {}
+        !self.limits.callers.is_over() && !self.limits.upstream.is_over()
     }
 
     /// Closes the oldest connection that never brought a good request, or else the one that has been idle
@@ -250,13 +291,17 @@
         }
     }
 
-    /// The orderly end: returns when all that was taken is answered.
-    pub async fn stop(&self) {
+    /// The orderly end: returns when all that was taken is answered. With a newer process at the same address
+    /// callers are sent there at once.
+    pub async fn stop(&self, has_newer: bool) {
         let told = Instant::now();
         let longest = self.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max).min(STOP_DEADLINE_MOST);
         let most = Duration::from_secs_f64((longest + STOP_MORE) / 1000.0);
-        self.lifecycle.stop(most / 2);
-        sleep(STOP_LEAST).await;
+        self.lifecycle.stop(if has_newer { Duration::ZERO } else { most / 2 });
+        if has_newer {
+            self.leave.notify_one();
+        }
+        sleep(if has_newer { STOP_HANDED_OVER } else { STOP_LEAST }).await;
         while !self.callers.borrow().is_empty() && told.elapsed() < most {
             sleep(Duration::from_millis(20)).await;
         }
@@ -403,6 +448,7 @@
     fn up(&self) -> Reply {
         match (self.lifecycle.phase(), self.is_ready()) {
             (Phase::Serving, true) => plain(StatusCode::OK, "ok"),
+            (Phase::Starting, _) => plain(StatusCode::SERVICE_UNAVAILABLE, "starting"),
             (Phase::Serving, false) => plain(StatusCode::SERVICE_UNAVAILABLE, "no backend list yet"),
             (Phase::Draining, _) => plain(StatusCode::SERVICE_UNAVAILABLE, "draining"),
             (Phase::Stopping, _) => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
--- a/tests/proxy/harness.rs
+++ b/tests/proxy/harness.rs
@@ -251,6 +251,25 @@
         (Proxy::start_by(&format!("NODE_ADMIN_ADDR={admin} exec \"$0\""), config), admin)
     }
 
+    /// Starts a newer process beside this one, at the same address; gives it once it says yes.
+    pub fn start_beside(&self, config: &str) -> (Proxy, SocketAddr) {
+        let (listener, admin) = listen();
+        drop(listener);
+        let line = format!("NODE_ADMIN_ADDR={admin} exec \"$0\"");
+        let (mut command, config) = spawn(&line, config, self.address);
+        let newer = Proxy { address: self.address, child: command.spawn().expect("it starts"), config };
+        until("the newer process says yes", || {
+            let stream = TcpStream::connect(admin).ok();
+            let mut answer = String::new();
+            stream.is_some_and(|mut stream| {
+                stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+                let asked = stream.write_all(b"PING\n").and_then(|()| stream.read_to_string(&mut answer));
+                asked.is_ok() && answer.starts_with("200")
+            })
+        });
+        (newer, admin)
+    }
+
     fn comes_up(&mut self) -> bool {
         let end = Instant::now() + PATIENCE;
         while Instant::now() < end && self.child.try_wait().expect("its state").is_none() {
@@ -278,7 +297,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
@@ -335,7 +354,8 @@
     Message::read(&mut BufReader::new(stream.try_clone().expect("a second handle")))
 }
 
-fn try_call(address: SocketAddr, request: &str) -> Option<Message> {
+/// The answer to a request on a connection of its own, if there is one.
+pub fn try_call(address: SocketAddr, request: &str) -> Option<Message> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(PATIENCE)).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
--- a/tests/proxy/operate.rs
+++ b/tests/proxy/operate.rs
@@ -113,3 +113,88 @@
     let kept = open(proxy.address, &ask("read", "b3", 10_000, ""));
     assert_eq!(answer(&kept).expect("an answer").header("connection"), None);
 }
+
+#[test]
+fn an_upgrade_loses_no_request_and_can_be_followed_by_another() {
+    let backend = Backend::saying(OK);
+    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", backend.address, "ready")])));
+    let config = config(discovery.address, &list(0, true, &[]));
+    let (mut proxy, _admin) = Proxy::start_operated(&config);
+    for round in 0..2 {
+        // Callers that connect for each request, and one that keeps its connection; all through the change.
+        let kept = open(proxy.address, &ask("once", &format!("k{round}"), 8_000, "x"));
+        assert_eq!(answer(&kept).expect("an answer").status(), 200);
+        let changed = std::sync::atomic::AtomicBool::new(false);
+        let at_the_door = std::sync::atomic::AtomicUsize::new(0);
+        let (address, over, door) = (proxy.address, &changed, &at_the_door);
+        let (newer, admin) = thread::scope(|scope| {
+            let callers: Vec<_> = (0..4)
+                .map(|caller| {
+                    scope.spawn(move || {
+                        let mut n = 0;
+                        while n < 20 || !over.load(Ordering::SeqCst) {
+                            let id = format!("u{round}-{caller}-{n}");
+                            match try_call(address, &ask("read", &id, 8_000, "")) {
+                                Some(reply) => assert_eq!(reply.status(), 200),
+                                // The system may complete a connection in the very moment of the close.
+                                None => assert!(door.fetch_add(1, Ordering::SeqCst) < 2, "left at the door"),
+                            }
+                            n += 1;
+                        }
+                    })
+                })
+                .collect();
+            let (newer, admin) = proxy.start_beside(&config);
+            proxy.terminate();
+            assert!(answer(&kept).is_none(), "an idle connection is closed in order");
+            assert!(proxy.wait().success());
+            // Not before the older process has ended does all go to the newer one.
+            let so_far = figure(admin, "svc_answered{group=\"read\"}");
+            until("the newer one serves", || figure(admin, "svc_answered{group=\"read\"}") > so_far);
+            over.store(true, Ordering::SeqCst);
+            callers.into_iter().for_each(|caller| caller.join().expect("it was served"));
+            (newer, admin)
+        });
+        assert_eq!(figure(admin, "svc_errored{group=\"read\"}"), 0);
+        proxy = newer;
+    }
+}
+
+#[test]
+fn a_newer_process_that_cannot_serve_yet_takes_no_client() {
+    let backend = Backend::saying(OK);
+    let (proxy, _admin, _discovery) = operated(&[&backend]);
+    let silent = Discovery::start(None);
+    let (listener, admin) = listen();
+    drop(listener);
+    let line = format!("NODE_ADMIN_ADDR={admin} exec \"$0\"");
+    let (mut command, _config) = spawn(&line, &config(silent.address, &list(0, true, &[])), proxy.address);
+    let mut newer = command.spawn().expect("it starts");
+    until("it has asked discovery", || !silent.asked.lock().unwrap().is_empty());
+    for n in 0..50 {
+        assert_eq!(proxy.call(&ask("read", &format!("w{n}"), 8_000, "")).status(), 200);
+    }
+    newer.kill().expect("it is killed");
+    newer.wait().expect("it has ended");
+    assert_eq!(proxy.call(&ask("read", "w", 8_000, "")).status(), 200);
+}
+
+#[test]
+fn what_waits_in_the_queue_of_an_older_process_is_served() {
+    let backend = Backend::saying(OK);
+    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", backend.address, "ready")])));
+    let config = config(discovery.address, &list(0, true, &[]));
+    let (mut proxy, _admin) = Proxy::start_operated(&config);
+    let (_newer, _admin) = proxy.start_beside(&config);
+    proxy.signal("-STOP");
+    // The system shares these out; about half of them wait for the one that is held.
+    let callers: Vec<TcpStream> =
+        (0..40).map(|n| open(proxy.address, &ask("read", &format!("q{n}"), 20_000, ""))).collect();
+    proxy.terminate();
+    proxy.signal("-CONT");
+    for caller in callers {
+        // So many at once may be refused, but each is told.
+        assert!(answer(&caller).is_some(), "it was left at the door");
+    }
+    assert!(proxy.wait().success());
+}
