--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -300,13 +300,16 @@
         !self.limits.callers.is_over() && !self.limits.upstream.is_over()
     }
 
-    /// Closes the oldest connection that never brought a good request, or else the one that has been idle
-    /// longest; false if all are busy.
+    /// Closes the least useful of the connections that never brought a good request, or else the one that has
+    /// been idle longest; false if all are busy.
     fn shed(&self) -> bool {
         let callers = self.callers.borrow();
         let unproven =
             callers.values().filter(|c| !c.proven.get() && !c.taken.get() && c.closing.get() != Closing::Now);
-        if let Some(oldest) = unproven.min_by_key(|c| c.used.get()) {
+        // Those that have said nothing go before those that are in the midst of a request, and of these the ones
+        // that have paused longest.
+        let use_of = |c: &&Rc<Caller>| (c.wire.begun().is_some(), c.wire.last_read());
+        if let Some(oldest) = unproven.min_by_key(use_of) {
             oldest.close(Closing::Now);
             return true;
         }
--- a/tests/proxy/streams.rs
+++ b/tests/proxy/streams.rs
@@ -214,3 +214,24 @@
     assert_eq!(answer(&caller).expect("an answer").status(), 200);
     assert!(backend.seen.lock().unwrap()[0].body == body);
 }
+
+#[test]
+fn silent_connections_give_way_before_one_that_is_being_used() {
+    let backend = Backend::saying(OK);
+    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", backend.address, "ready")])));
+    let small = config(discovery.address, &list(0, true, &[])).replace("\"sockets\":1024", "\"sockets\":64");
+    let proxy = Proxy::start(&small);
+    let request = ask("read", "j1", 20_000, "");
+    let (first, rest) = request.split_at(30);
+    let mut caller = open(proxy.address, first);
+    let crowd: Vec<TcpStream> = (0..60).map(|_| open(proxy.address, "")).collect();
+    // The last of the crowd has its place once one that came before it was closed.
+    until("the crowd gives way", || {
+        crowd.iter().any(|stream| {
+            stream.set_nonblocking(true).expect("it is set");
+            !matches!((&*stream).read(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        })
+    });
+    caller.write_all(rest.as_bytes()).expect("it is still open");
+    assert_eq!(answer(&caller).expect("an answer").status(), 200);
+}
