--- a/src/choice.rs
+++ b/src/choice.rs
@@ -148,6 +148,14 @@
         Node { count, first: count, in_flight: 0.0, used: 0.0, stress: 0.0, at: f64::MIN, cut_at: f64::MIN }
     }
 
+    /// The tier is larger than was known: what was not learned yet is put right.
+    fn grow(&mut self, first: f64) {
+        if first > self.first && self.cut_at == f64::MIN {
+            self.count += first - self.first;
+        }
+        self.first = self.first.max(first);
+    }
+
     /// The check of FlowSlot; a part of a call in the count admits one more by that chance.
     fn admits(&self, chance: f64) -> bool {
         self.in_flight + 1.0 <= self.count + chance
@@ -446,9 +454,16 @@
         self.index = self.backends.iter().enumerate().map(|(i, b)| (b.info.id, i)).collect();
         self.order_backends();
         // Only at the top: a call refused further down wastes the work already done for it.
-        if self.settings.stage == 0 && self.tier.count == START_COUNT && !self.backends.is_empty() {
-            let part = self.backends.len() as f64 / f64::from(self.settings.fleet_size);
-            let start = (START_EACH * part).max(START_SPARSE * part + START_LEAST);
+        if self.settings.stage > 0 || self.backends.is_empty() {
+            return;
+        }
+        let part = self.backends.len() as f64 / f64::from(self.settings.fleet_size);
+        let start = (START_EACH * part).max(START_SPARSE * part + START_LEAST);
+        if self.tier.count < START_COUNT {
+            // The list known at the start may be old, and name but a part of the tier.
+            self.tier.grow(start);
+            self.classes.iter_mut().for_each(|node| node.grow(start));
+        } else {
             self.tier = Node::new(start);
             self.classes.iter_mut().for_each(|node| *node = Node::new(start));
             // A window that began empty would let in a whole window of a tenant's traffic at once.
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -292,3 +292,13 @@
     assert_eq!(told(0, false), Some(0.0), "not permitted");
     assert_eq!(told(1, true), Some(0.0), "further down nobody waits");
 }
+
+#[test]
+fn a_first_count_taken_from_an_old_list_grows_with_the_new_one() {
+    // A proxy that knew four of its backends kept the count of four, and refused what all of them could do.
+    let mut whole = many_backends(0);
+    let mut p = Proxy::new(Settings { stage: 0, ..settings() }, &backends(4));
+    assert!(p.admitted(10_000) < 40);
+    p.list(ListKind::Full, &backends(40));
+    assert!(p.admitted(10_000) >= whole.admitted(10_000));
+}
