--- a/src/bin/umberridge-simhost.rs
+++ b/src/bin/hillstall-benchlink.rs
@@ -3,13 +3,13 @@
 
 #![forbid(unsafe_code)]
 
+use hillstall::api::{Action, BackendInfo, Event, ListKind};
+use hillstall::wire::{self, Header, Malformed, Record, Reply, BATCH_HEADER};
+use hillstall::Balancer;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
-use umberridge::api::{Action, BackendInfo, Event, ListKind};
-use umberridge::wire::{self, Header, Malformed, Record, Reply, BATCH_HEADER};
-use umberridge::Balancer;
 
 #[derive(Default)]
 struct Host {
@@ -110,7 +110,7 @@
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("umberridge-simhost: {why}");
+            eprintln!("hillstall-benchlink: {why}");
             ExitCode::FAILURE
         }
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,4 +1,4 @@
-//! Every decision of umberridge. The interface, its types, events and actions, is `src/api.rs`.
+//! Every decision of hillstall. The interface, its types, events and actions, is `src/api.rs`.
 //!
 //! A call passes a check of counting nodes before each send, as in Sentinel's FlowSlot: the tier's node, the
 //! node of its class and, for traffic over its tenant's share, the node for borrowed room. A call that would
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,4 @@
-//! `dewrun`, the real proxy: the decision module on sockets. `src/net/driver.rs` ties the parts together.
+//! `hillstall`, the real proxy: the decision module on sockets. `src/net/driver.rs` ties the parts together.
 
 #![forbid(unsafe_code)]
 
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,11 +1,11 @@
 //! What the platform tells a proxy: `NODE_CONFIG` and the environment.
 
 use super::discovery::List;
+use hillstall::api::Settings;
+use hillstall::wire;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
-use umberridge::api::Settings;
-use umberridge::wire;
 
 /// Descriptors a process may hold, and its memory, where the configuration does not say.
 const USUAL_SOCKETS: usize = 1_024;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,6 +2,7 @@
 
 use super::io::{log, Io, Wire};
 use bytes::Bytes;
+use hillstall::api::{BackendId, BackendInfo, BackendState, Settings};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{header::HOST, Request, StatusCode};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -10,7 +11,6 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use umberridge::api::{BackendId, BackendInfo, BackendState, Settings};
 
 /// A watch says something every 2 s. One that is silent for this long is dead: a machine that was cut off
 /// never closes its connections, and news counts as told soon after.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -8,6 +8,8 @@
 use super::io::log;
 use super::metrics::{Cluster, Metrics};
 use super::upstream::{Answer, Ended, Inbound, Outbound, Upstream};
+use hillstall::api::*;
+use hillstall::Balancer;
 use hyper::StatusCode;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
@@ -17,8 +19,6 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 use tokio::task::{spawn_local, AbortHandle};
-use umberridge::api::*;
-use umberridge::Balancer;
 
 /// Longest time that can be asked for or waited; keeps arithmetic on instants in range.
 const SPAN_MOST: Millis = 3.6e6;
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -18,7 +18,7 @@
 
 /// Writes a line to the log. Guards against the panic of `eprintln!` where nobody reads the log any more.
 pub fn log(line: impl std::fmt::Display) {
-    let _ = writeln!(std::io::stderr(), "dewrun: {line}");
+    let _ = writeln!(std::io::stderr(), "hillstall: {line}");
 }
 
 /// Listens at an address where another process of this proxy may listen too.
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -1,9 +1,9 @@
 //! What has happened since the start and what is going on now, in figures for the operators.
 
+use hillstall::api::Class;
 use std::cell::Cell;
 use std::fmt::Write;
 use std::rc::Rc;
-use umberridge::api::Class;
 
 /// A count that only rises.
 pub type Counter = Rc<Cell<u64>>;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -9,6 +9,7 @@
 use super::stream::{discard, Download, Passed, Rest, Upload};
 use super::upstream::{joined, AnswerBody, Inbound, Payload, Upstream, TIMEOUT_HEADER};
 use bytes::Bytes;
+use hillstall::api::{Class, Effect, Settings, Tenant};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{
@@ -30,7 +31,6 @@
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout_at};
-use umberridge::api::{Class, Effect, Settings, Tenant};
 
 /// How long `/up` waits for discovery before it makes do with the known list, or with none at all.
 const UP_KNOWN: Duration = Duration::from_millis(1_000);
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -5,6 +5,7 @@
 use super::metrics::Counter;
 use super::stream::{Download, Outgoing, Rest, Upload};
 use bytes::Bytes;
+use hillstall::api::{BackendId, Outcome, Report, ReportField};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
@@ -22,7 +23,6 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, timeout_at};
-use umberridge::api::{BackendId, Outcome, Report, ReportField};
 
 /// Headers that speak of one connection and stay on it, and those that are written anew.
 const OWN_HEADERS: [HeaderName; 8] = [
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use hillstall::api::*;
 use std::collections::{BTreeMap, BTreeSet};
-use umberridge::api::*;
 
 /// How often each backend is sent to, over `n` calls one after another.
 fn tally(p: &mut Proxy, n: usize) -> BTreeMap<BackendId, usize> {
--- a/tests/proxy/harness.rs
+++ b/tests/proxy/harness.rs
@@ -344,10 +344,10 @@
 pub fn spawn(line: &str, config: &str, listen: SocketAddr) -> (Command, PathBuf) {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
-    let path = std::env::temp_dir().join(format!("dewrun-test-{}-{number}.json", std::process::id()));
+    let path = std::env::temp_dir().join(format!("hillstall-test-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).expect("the configuration is written");
     let mut command = Command::new("sh");
-    command.args(["-c", line, env!("CARGO_BIN_EXE_dewrun")]);
+    command.args(["-c", line, env!("CARGO_BIN_EXE_hillstall")]);
     command.env("NODE_CONFIG", &path).env("NODE_LISTEN", listen.to_string()).stderr(Stdio::piped());
     (command, path)
 }
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -376,7 +376,7 @@
     }
     let missing = spawn("unset NODE_CONFIG; exec \"$0\"", &good, other).0.output().expect("it runs");
     assert!(!missing.status.success());
-    assert_eq!(missing.stderr, b"dewrun: NODE_CONFIG is not set\n");
+    assert_eq!(missing.stderr, b"hillstall: NODE_CONFIG is not set\n");
     drop(taken);
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,10 +2,10 @@
 
 mod common;
 use common::*;
+use hillstall::api::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
-use umberridge::api::*;
 
 const MAY_HAVE_RUN: [Outcome; 3] = [Outcome::Error, Outcome::Timeout, Outcome::Reset];
 const NEVER_RAN: [Outcome; 2] = [Outcome::Full, Outcome::ConnectFailed];
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,8 +1,8 @@
 //! The settings: every key is read, absent ones get their meaning, unusable ones are named.
 
+use hillstall::api::*;
+use hillstall::wire;
 use serde_json::{json, Value};
-use umberridge::api::*;
-use umberridge::wire;
 
 /// Settings in which every key has a value that is not its default.
 fn full() -> Value {
