--- a/src/bin/hillstall-benchlink.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,11 +1,9 @@
 //! Hosts any number of balancers behind the bench's wire: one frame in on standard input, one reply out on
 //! standard output, until the input ends.
 
-#![forbid(unsafe_code)]
-
-use hillstall::api::{Action, BackendInfo, Event, ListKind};
-use hillstall::wire::{self, Header, Malformed, Record, Reply, BATCH_HEADER};
-use hillstall::Balancer;
+use hillstall_benchlink::wire::{self, Header, Malformed, Record, Reply, BATCH_HEADER};
+use hillstall_module::api::{Action, BackendInfo, Event, ListKind};
+use hillstall_module::Balancer;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -47,7 +45,7 @@
     }
 
     fn provision(&mut self, instance: u32, seed: u64, conf: &[u8]) {
-        match wire::settings(conf) {
+        match hillstall_settings::settings(conf) {
             Ok(settings) => {
                 self.instances.insert(instance, Balancer::new(settings, seed));
             }
--- /dev/null
+++ b/crates/core/src/discovery.rs
@@ -0,0 +1,59 @@
+//! Where the list of servers comes from. How it is asked is a protocol of its own; how often, and from where it
+//! goes on after a failure, is the same for all.
+
+use crate::directory::List;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Waits between two tries, doubled with each failure.
+const BACKOFF: Duration = Duration::from_millis(50);
+const BACKOFF_MOST: Duration = Duration::from_millis(800);
+
+/// A future that a trait object gives.
+pub type Pending<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+
+/// A service that knows the servers.
+pub trait Discovery {
+    /// Watches from version `index` until the watch ends, and gives why. Where no version is known, the whole
+    /// list comes first: versions of one address mean nothing at another.
+    fn watch<'a>(
+        &'a self,
+        address: SocketAddr,
+        index: &'a mut Option<u64>,
+        take: &'a mut dyn FnMut(List),
+    ) -> Pending<'a, String>;
+
+    /// Asks for the whole list once.
+    fn fetch(&self, address: SocketAddr) -> Pending<'_, Option<List>>;
+}
+
+/// Watches for ever. A watch that ends, falls silent or is garbled is opened again from where it stood.
+pub async fn follow(
+    discovery: Rc<dyn Discovery>,
+    address: SocketAddr,
+    mut index: Option<u64>,
+    mut take: impl FnMut(List),
+) {
+    let mut wait = BACKOFF;
+    let mut failing = false;
+    loop {
+        let mut got = false;
+        let mut heard = |list| {
+            got = true;
+            take(list);
+        };
+        let why = discovery.watch(address, &mut index, &mut heard).await;
+        if got {
+            (wait, failing) = (BACKOFF, false);
+        }
+        // One line for each spell of trouble, not for each try.
+        if !std::mem::replace(&mut failing, true) {
+            tracing::warn!(%address, "discovery watch: {why}; opening it again");
+        }
+        tokio::time::sleep(wait).await;
+        wait = (wait * 2).min(BACKOFF_MOST);
+    }
+}
--- a/src/net/driver.rs
+++ b/crates/core/src/driver.rs
@@ -3,14 +3,12 @@
 //! requests and the promises of the interface, which are one final answer for each request, one attempt out
 //! at a time, and one outcome for each send.
 
-use super::config::Config;
-use super::discovery::{self, Directory, List};
-use super::io::log;
-use super::metrics::{Cluster, Metrics};
-use super::upstream::{Answer, Ended, Inbound, Outbound, Upstream};
-use hillstall::api::*;
-use hillstall::Balancer;
-use hyper::StatusCode;
+use crate::carrier::{Attempt, Carrier, Ended, Payload};
+use crate::directory::{Directory, List, Place};
+use crate::discovery::{self, Discovery};
+use crate::metrics::{Cluster, Metrics};
+use hillstall_module::api::*;
+use hillstall_module::Balancer;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -24,15 +22,15 @@
 const SPAN_MOST: Millis = 3.6e6;
 
 /// The final answer to a caller.
-pub enum Final {
+pub enum Final<C: Carrier> {
     /// A backend's answer.
-    Served(Answer),
+    Served(C::Answer),
     /// Trying again is harmless; not before so many milliseconds, if above 0.
     Refused(Millis),
     /// Promises nothing.
     Failed,
     /// A backend found fault with the request itself, and would again.
-    Rejected(StatusCode),
+    Rejected(C::Rejection),
 }
 
 /// What a request is, in the module's terms.
@@ -76,12 +74,12 @@
     cancel: Option<oneshot::Sender<()>>,
 }
 
-struct Open {
+struct Open<C: Carrier> {
     class: u8,
-    inbound: Rc<Inbound>,
+    call: Rc<C::Call>,
     deadline: Instant,
     /// Taken by the final answer; empty from then on, and once the caller has left.
-    answer: Option<oneshot::Sender<Final>>,
+    answer: Option<oneshot::Sender<Final<C>>>,
     attempts: u32,
     out: Option<Out>,
 }
@@ -91,12 +89,12 @@
     Event(Event<'static>),
 }
 
-struct State {
+struct State<C: Carrier> {
     balancer: Balancer,
     happened: VecDeque<Happening>,
     actions: Vec<Action>,
     directory: Directory,
-    open: FxHashMap<RequestId, Open>,
+    open: FxHashMap<RequestId, Open<C>>,
     next_id: RequestId,
     /// The version held; `None` until the present discovery has told its own.
     index: Option<u64>,
@@ -104,53 +102,69 @@
 }
 
 /// See the module's text.
-pub struct Driver {
-    me: Weak<Driver>,
+pub struct Driver<C: Carrier> {
+    me: Weak<Driver<C>>,
     clock: Clock,
-    upstream: Rc<Upstream>,
+    carrier: Rc<C>,
+    discovery: Rc<dyn Discovery>,
     metrics: Rc<Metrics>,
-    discovery: Cell<SocketAddr>,
+    listed_at: Cell<SocketAddr>,
     must_subscribe: bool,
     max_attempts: u32,
     max_open: usize,
-    probe_path: &'static str,
+    probes_report: bool,
     listed: Cell<bool>,
-    state: RefCell<State>,
+    state: RefCell<State<C>>,
 }
 
-impl Driver {
-    /// Starts the module on the list that the configuration knows, and the watch on discovery.
+/// What a driver starts from.
+pub struct Start {
+    /// The module's settings.
+    pub settings: Settings,
+    /// For the module's random numbers.
+    pub seed: u64,
+    /// The servers as they were known last.
+    pub known: List,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// The most calls open at once.
+    pub max_open: usize,
+}
+
+impl<C: Carrier> Driver<C> {
+    /// Starts the module on the list that is known, and the watch on discovery.
     pub fn start(
-        config: Config,
-        upstream: Rc<Upstream>,
+        start: Start,
+        carrier: Rc<C>,
+        discovery: Rc<dyn Discovery>,
         metrics: Rc<Metrics>,
-        max_open: usize,
-    ) -> Rc<Driver> {
-        let settings = config.settings;
+    ) -> Rc<Driver<C>> {
+        let settings = start.settings;
         let driver = Rc::new_cyclic(|me| Driver {
             me: me.clone(),
             clock: Clock::new(),
-            upstream,
+            carrier,
+            discovery,
             metrics,
-            discovery: Cell::new(config.discovery),
+            listed_at: Cell::new(start.discovery),
             must_subscribe: settings.must_subscribe,
             max_attempts: settings.allowed.max_attempts.min(u32::from(u8::MAX)),
-            max_open: max_open.min(settings.allowed.max_open as usize),
-            probe_path: if settings.report_via == ReportVia::Probe { "/metrics/load" } else { "/alive" },
+            max_open: start.max_open.min(settings.allowed.max_open as usize),
+            probes_report: settings.report_via == ReportVia::Probe,
             listed: Cell::new(false),
             state: RefCell::new(State {
                 directory: Directory::new(&settings),
-                balancer: Balancer::new(settings, config.seed),
+                balancer: Balancer::new(settings, start.seed),
                 happened: VecDeque::new(),
                 actions: Vec::new(),
                 open: FxHashMap::default(),
                 next_id: 1,
-                index: Some(config.known.index),
+                index: Some(start.known.index),
                 watch: None,
             }),
         });
         // A complete list, whatever it says of itself: it is all that this proxy held.
-        driver.take_list(&List { snapshot: true, ..config.known }, Some(ListKind::Cached));
+        driver.take_list(&List { snapshot: true, ..start.known }, Some(ListKind::Cached));
         if !driver.must_subscribe {
             driver.watch(&mut driver.state.borrow_mut());
         }
@@ -159,7 +173,7 @@
 
     /// Follows the list at another address from now on. What is held stays in use until that one has told.
     pub fn follow(&self, discovery: SocketAddr) {
-        if self.discovery.replace(discovery) != discovery {
+        if self.listed_at.replace(discovery) != discovery {
             let state = &mut *self.state.borrow_mut();
             state.index = None;
             self.watch(state);
@@ -187,7 +201,7 @@
     fn take_list(&self, list: &List, kind: Option<ListKind>) {
         let state = &mut *self.state.borrow_mut();
         let (infos, stale) = state.directory.apply(list);
-        stale.into_iter().for_each(|backend| self.upstream.close_idle(backend));
+        stale.into_iter().for_each(|backend| self.carrier.close_idle(backend));
         let used: FxHashSet<BackendId> =
             state.open.values().filter_map(|o| o.out.as_ref()).map(|o| o.backend).collect();
         state.directory.forget_gone(|backend| used.contains(&backend));
@@ -201,7 +215,7 @@
 
     /// Takes a request in; `None` if this proxy holds as many as it can. The answer comes exactly once, if
     /// the guard is kept until then; dropping it earlier tells that the caller has left.
-    pub fn request(&self, asked: Asked, inbound: Inbound) -> Option<(Guard, oneshot::Receiver<Final>)> {
+    pub fn request(&self, asked: Asked, call: C::Call) -> Option<Taken<C>> {
         let state = &mut *self.state.borrow_mut();
         if state.open.len() >= self.max_open {
             return None;
@@ -211,7 +225,7 @@
         let (answer, receiver) = oneshot::channel();
         let open = Open {
             class: asked.class,
-            inbound: Rc::new(inbound),
+            call: Rc::new(call),
             deadline: asked.deadline,
             answer: Some(answer),
             attempts: 0,
@@ -240,7 +254,7 @@
         let Some(answer) = open.answer.take() else { return };
         let _ = answer.send(Final::Failed);
         self.handle(state, Happening::Event(Event::ClientGone { request: id }));
-        Driver::forget(state, id);
+        Self::forget(state, id);
     }
 
     /// Fails all that is open: the process is about to end.
@@ -249,13 +263,13 @@
         ids.into_iter().for_each(|id| self.close(id));
     }
 
-    fn attempt_ended(&self, request: RequestId, backend: BackendId, sent: Instant, ended: Ended) {
+    fn attempt_ended(&self, request: RequestId, backend: BackendId, sent: Instant, ended: Ended<C>) {
         let state = &mut *self.state.borrow_mut();
         let Some(open) = state.open.get_mut(&request) else { return };
         let Some(out) = open.out.take() else { return };
         let last = match (ended.answer, ended.rejected) {
             (Some(answer), _) => Some(Final::Served(answer)),
-            (None, Some(status)) => Some(Final::Rejected(status)),
+            (None, Some(why)) => Some(Final::Rejected(why)),
             (None, None) => None,
         };
         if let Some(last) = last {
@@ -264,7 +278,7 @@
             }
         }
         // A backend begins a request with its last byte, which a slow caller may send much later.
-        let begun = open.inbound.whole_at().map_or(sent, |whole| whole.max(sent));
+        let begun = open.call.whole_at().map_or(sent, |whole| whole.max(sent));
         let event = Event::Outcome {
             request,
             attempt: out.attempt,
@@ -275,7 +289,7 @@
             report: ended.report,
         };
         self.handle(state, Happening::Event(event));
-        Driver::forget(state, request);
+        Self::forget(state, request);
     }
 
     fn event(&self, event: Event<'static>) {
@@ -284,7 +298,7 @@
 
     /// Gives one happening to the module and carries out what it wants, with all that follows at once.
     /// Carrying out only queues and spawns, so the module is never entered from within itself.
-    fn handle(&self, state: &mut State, happening: Happening) {
+    fn handle(&self, state: &mut State<C>, happening: Happening) {
         state.happened.push_back(happening);
         while let Some(happening) = state.happened.pop_front() {
             let mut actions = std::mem::take(&mut state.actions);
@@ -304,13 +318,13 @@
 
     // ---- what is to be done ----
 
-    fn carry_out(&self, state: &mut State, action: Action) {
+    fn carry_out(&self, state: &mut State<C>, action: Action) {
         match action {
             Action::Send { request, backend, timeout_ms } => self.send(state, request, backend, timeout_ms),
             Action::Refuse { request, retry_after_ms } => {
-                Driver::finish(state, request, Final::Refused(retry_after_ms));
+                Self::finish(state, request, Final::Refused(retry_after_ms));
             }
-            Action::Fail { request } => Driver::finish(state, request, Final::Failed),
+            Action::Fail { request } => Self::finish(state, request, Final::Failed),
             Action::Cancel { request, attempt } => {
                 let out = state.open.get_mut(&request).and_then(|open| open.out.as_mut());
                 if let Some(cancel) = out.filter(|o| o.attempt == attempt).and_then(|o| o.cancel.take()) {
@@ -319,7 +333,7 @@
             }
             Action::SetTimer { after_ms, token } => self.later(after_ms, token),
             Action::Probe { backend } => self.probe(state, backend),
-            Action::CloseIdle { backend } => self.upstream.close_idle(backend),
+            Action::CloseIdle { backend } => self.carrier.close_idle(backend),
             // The protocol has no form for these, and the settings permit none.
             Action::Message { .. } => {}
             Action::Subscribe { on: true } => self.watch(state),
@@ -330,31 +344,31 @@
             }
             Action::Fetch => self.fetch(),
             // The module limits these itself.
-            Action::Log(line) => log(line),
+            Action::Log(line) => tracing::info!(target: "hillstall::module", "{line}"),
         }
     }
 
-    fn finish(state: &mut State, request: RequestId, with: Final) {
+    fn finish(state: &mut State<C>, request: RequestId, with: Final<C>) {
         if let Some(answer) = state.open.get_mut(&request).and_then(|open| open.answer.take()) {
             let _ = answer.send(with);
         }
-        Driver::forget(state, request);
+        Self::forget(state, request);
     }
 
     /// Drops a request that is over and has no attempt out.
-    fn forget(state: &mut State, request: RequestId) {
+    fn forget(state: &mut State<C>, request: RequestId) {
         if state.open.get(&request).is_some_and(|open| open.answer.is_none() && open.out.is_none()) {
             state.open.remove(&request);
         }
     }
 
-    fn send(&self, state: &mut State, request: RequestId, backend: BackendId, timeout_ms: Millis) {
+    fn send(&self, state: &mut State<C>, request: RequestId, backend: BackendId, timeout_ms: Millis) {
         let place = state.directory.place(backend);
         let open = state.open.get_mut(&request);
         // Guards the rules whatever the module says: nothing for a request that is over, no second copy, no
         // attempt past the most, no body that is spent.
         let fit = open.filter(|o| {
-            let again = o.attempts < self.max_attempts && !o.inbound.is_spent();
+            let again = o.attempts < self.max_attempts && !o.call.is_spent();
             o.answer.is_some() && o.out.is_none() && again
         });
         let (Some(open), Some(place)) = (fit, place) else {
@@ -376,23 +390,15 @@
         let sent = Instant::now();
         let deadline = open.deadline;
         let most = if timeout_ms == 0.0 { span(SPAN_MOST) } else { span(timeout_ms) };
-        let (me, inbound, sends) = (self.me.clone(), open.inbound.clone(), self.metrics.sends(open.class));
+        let call = open.call.clone();
+        let sends = self.metrics.sends(open.class);
+        let me = self.me.clone();
         spawn_local(async move {
             let Some(driver) = me.upgrade() else { return };
-            // All goes by the list as it is when the first byte is about to leave, or when the connection would
-            // go back to the pool: by then the backend may drain, or another may stand at its address.
-            let there = driver.clone();
-            let still_there = move || {
-                let state = there.state.borrow();
-                state.directory.place(backend) == Some(place) && place.state == BackendState::Ready
-            };
-            let may_write = || {
-                let state = driver.state.borrow();
-                state.open.get(&request).is_some_and(|open| open.answer.is_some())
-            };
-            let upstream = driver.upstream.clone();
-            let outbound = Outbound { inbound: &inbound, deadline, most, sends };
-            let attempt = upstream.attempt(backend, place.address, outbound, may_write, still_there);
+            let permit = Permit { driver: driver.clone(), request, backend, place };
+            let address = place.address;
+            let attempt = Attempt { call, backend, address, deadline, most, sends, permit };
+            let attempt = driver.carrier.clone().attempt(attempt);
             let ended = tokio::select! {
                 biased;
                 ended = attempt => ended,
@@ -413,12 +419,12 @@
         });
     }
 
-    fn probe(&self, state: &State, backend: BackendId) {
-        let (me, upstream, path) = (self.me.clone(), self.upstream.clone(), self.probe_path);
+    fn probe(&self, state: &State<C>, backend: BackendId) {
+        let (me, carrier, report) = (self.me.clone(), self.carrier.clone(), self.probes_report);
         let (place, sent) = (state.directory.place(backend), Instant::now());
         spawn_local(async move {
             let ended = match place {
-                Some(place) => upstream.probe(place.address, path).await,
+                Some(place) => carrier.probe(place.address, report).await,
                 None => Ended::now(Outcome::Moot),
             };
             let Some(driver) = me.upgrade() else { return };
@@ -430,13 +436,14 @@
 
     /// Follows the list from the version held. Where lists are pushed this goes on for ever; where they are
     /// asked for, the module is told of the end and decides when to ask again.
-    fn watch(&self, state: &mut State) {
+    fn watch(&self, state: &mut State<C>) {
         if let Some(watch) = state.watch.take() {
             watch.abort();
         }
-        let (me, address, ask) = (self.me.clone(), self.discovery.get(), self.must_subscribe);
+        let (me, address, ask) = (self.me.clone(), self.listed_at.get(), self.must_subscribe);
+        let discovery = self.discovery.clone();
         let mut index = state.index;
-        let take = move |list: List| {
+        let mut take = move |list: List| {
             if let Some(driver) = me.upgrade() {
                 driver.take_list(&list, None);
             }
@@ -444,9 +451,9 @@
         let me = self.me.clone();
         let watch = spawn_local(async move {
             if !ask {
-                return discovery::follow(address, index, take).await;
+                return discovery::follow(discovery, address, index, take).await;
             }
-            discovery::watch(address, &mut index, take).await;
+            discovery.watch(address, &mut index, &mut take).await;
             if let Some(driver) = me.upgrade() {
                 driver.list_failed();
             }
@@ -455,11 +462,12 @@
     }
 
     fn fetch(&self) {
-        let (me, address) = (self.me.clone(), self.discovery.get());
+        let (me, address) = (self.me.clone(), self.listed_at.get());
+        let discovery = self.discovery.clone();
         spawn_local(async move {
-            let list = discovery::fetch(address).await;
+            let list = discovery.fetch(address).await;
             let Some(driver) = me.upgrade() else { return };
-            match list.filter(|_| driver.discovery.get() == address) {
+            match list.filter(|_| driver.listed_at.get() == address) {
                 Some(list) => driver.take_list(&list, None),
                 None => driver.list_failed(),
             }
@@ -477,13 +485,16 @@
     Duration::from_secs_f64(if ms.is_finite() { ms.clamp(0.0, SPAN_MOST) / 1000.0 } else { 0.0 })
 }
 
+/// A call that was taken: its guard, and where its final answer comes.
+pub type Taken<C> = (Guard<C>, oneshot::Receiver<Final<C>>);
+
 /// Stands for a caller that waits.
-pub struct Guard {
-    driver: Weak<Driver>,
+pub struct Guard<C: Carrier> {
+    driver: Weak<Driver<C>>,
     id: RequestId,
 }
 
-impl Guard {
+impl<C: Carrier> Guard<C> {
     /// Fails the request if it still has no answer.
     pub fn close(&self) {
         if let Some(driver) = self.driver.upgrade() {
@@ -492,8 +503,34 @@
     }
 }
 
-impl Drop for Guard {
+impl<C: Carrier> Drop for Guard<C> {
     fn drop(&mut self) {
         self.close();
     }
 }
+
+/// What an attempt may do, by the list and the call as they are when it asks: by then the server may drain, or
+/// another may stand at its address, or the caller may have its answer.
+pub struct Permit<C: Carrier> {
+    driver: Rc<Driver<C>>,
+    request: RequestId,
+    backend: BackendId,
+    place: Place,
+}
+
+impl<C: Carrier> Permit<C> {
+    /// Whether the first byte may go out.
+    pub fn may_write(&self) -> bool {
+        let wanted = {
+            let state = self.driver.state.borrow();
+            state.open.get(&self.request).is_some_and(|open| open.answer.is_some())
+        };
+        wanted && self.still_there()
+    }
+
+    /// Whether a connection to the server is still of use.
+    pub fn still_there(&self) -> bool {
+        let state = self.driver.state.borrow();
+        state.directory.place(self.backend) == Some(self.place) && self.place.state == BackendState::Ready
+    }
+}
--- a/src/net/admin.rs
+++ b/crates/hillstall/src/admin.rs
@@ -1,11 +1,11 @@
 //! The second address: one line a connection, for those who operate the proxy.
 
-use super::driver::Driver;
-use super::io::log;
-use super::lifecycle::{Lifecycle, Phase};
-use super::limits::ADMIN_MOST;
-use super::metrics::Metrics;
-use super::server::Server;
+use hillstall_core::driver::Driver;
+use hillstall_core::lifecycle::{Lifecycle, Phase};
+use hillstall_core::limits::ADMIN_MOST;
+use hillstall_core::metrics::Metrics;
+use hillstall_http1::front::Server;
+use hillstall_http1::upstream::Upstream;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,7 +28,7 @@
     /// The figures of `INFO`.
     pub metrics: Rc<Metrics>,
     /// Knows the backends.
-    pub driver: Rc<Driver>,
+    pub driver: Rc<Driver<Upstream>>,
     /// Knows whether clients can be served.
     pub server: Rc<Server>,
 }
@@ -42,7 +42,7 @@
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(e) => {
-                    log(format_args!("admin_addr: {e}"));
+                    tracing::warn!("admin_addr: {e}");
                     sleep(Duration::from_millis(20)).await;
                     continue;
                 }
--- a/src/net/config.rs
+++ b/crates/hillstall/src/config.rs
@@ -1,8 +1,7 @@
 //! What the platform tells a proxy: `NODE_CONFIG` and the environment.
 
-use super::discovery::List;
-use hillstall::api::Settings;
-use hillstall::wire;
+use hillstall_core::directory::List;
+use hillstall_module::api::Settings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -90,6 +89,6 @@
         sockets: raw.limits.sockets.unwrap_or(USUAL_SOCKETS),
         memory_mb: raw.limits.memory_mb.unwrap_or(USUAL_MEMORY_MB),
         known: raw.known,
-        settings: wire::settings(raw.settings.to_string().as_bytes())?,
+        settings: hillstall_settings::settings(raw.settings.to_string().as_bytes())?,
     })
 }
--- a/src/net/handover.rs
+++ b/crates/hillstall/src/handover.rs
@@ -1,8 +1,7 @@
 //! Two processes of one proxy, while an upgrade goes on. They find each other by a Unix socket in the folder
 //! they share; for as long as it is connected each keeps to its half of what the proxy may hold.
 
-use super::io::log;
-use super::server::Server;
+use hillstall_http1::front::Server;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -37,7 +36,9 @@
                 Ok(Ok(1)) if said[0] == SHRUNK => {}
                 // It ended meanwhile.
                 Ok(_) => older = None,
-                Err(_) => log("upgrade: the older process is slow to make room; starting all the same"),
+                Err(_) => {
+                    tracing::warn!("upgrade: the older process is slow to make room; starting all the same")
+                }
             }
         }
         Rc::new(Handover { path, older: Cell::new(older), has_newer: Cell::new(false) })
@@ -66,7 +67,9 @@
         let _ = std::fs::remove_file(&self.path);
         let listener = match UnixListener::bind(&self.path) {
             Ok(listener) => listener,
-            Err(e) => return log(format_args!("{}: {e}; no upgrade without a gap", self.path.display())),
+            Err(e) => {
+                return tracing::warn!("{}: {e}; no upgrade without a gap", self.path.display());
+            }
         };
         loop {
             let Ok((mut newer, _)) = listener.accept().await else {
--- a/src/main.rs
+++ b/crates/hillstall/src/main.rs
@@ -1,32 +1,22 @@
-//! `hillstall`, the real proxy: the decision module on sockets. `src/net/driver.rs` ties the parts together.
+//! `hillstall`, the real proxy: the decision module on sockets. Here its parts are put together.
 
-#![forbid(unsafe_code)]
+mod admin;
+mod config;
+mod handover;
+mod logs;
 
-mod net {
-    pub mod admin;
-    pub mod config;
-    pub mod discovery;
-    pub mod driver;
-    pub mod framing;
-    pub mod handover;
-    pub mod io;
-    pub mod lifecycle;
-    pub mod limits;
-    pub mod metrics;
-    pub mod server;
-    pub mod stream;
-    pub mod upstream;
-}
-
-use net::admin::Admin;
-use net::config::{self, Config};
-use net::driver::Driver;
-use net::handover::Handover;
-use net::lifecycle::Lifecycle;
-use net::limits::Limits;
-use net::metrics::Metrics;
-use net::server::Server;
-use net::upstream::Upstream;
+use admin::Admin;
+use config::Config;
+use handover::Handover;
+use hillstall_core::driver::{Driver, Start};
+use hillstall_core::lifecycle::Lifecycle;
+use hillstall_core::limits::Limits;
+use hillstall_core::metrics::Metrics;
+use hillstall_core::sockets;
+use hillstall_http1::discovery::HttpDiscovery;
+use hillstall_http1::front::Server;
+use hillstall_http1::upstream::Upstream;
+use std::io::Write;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,7 +32,7 @@
 
 async fn run(config: Config) -> Result<(), String> {
     let address = config.listen;
-    let listen = || net::io::listen(address).map_err(|e| format!("listen: {address}: {e}"));
+    let listen = || sockets::listen(address).map_err(|e| format!("listen: {address}: {e}"));
     let handover = Handover::meet(&std::env::temp_dir(), address).await;
     // With an older process at the address, this one listens there only once it can serve.
     let early = if handover.has_older() { None } else { Some(listen()?) };
@@ -61,13 +51,20 @@
     let upstream = Rc::new(Upstream::new(limits.clone(), connect_ms, idle_ms, settings.report.clone()));
     let (lifecycle, metrics) = (Lifecycle::new(), Metrics::new(&settings.classes));
     let knows_some = !config.known.endpoints.is_empty();
-    let driver = Driver::start(config, upstream.clone(), metrics.clone(), limits.callers.most());
+    let start = Start {
+        settings: config.settings,
+        seed: config.seed,
+        known: config.known,
+        discovery: config.discovery,
+        max_open: limits.callers.most(),
+    };
+    let driver = Driver::start(start, upstream.clone(), Rc::new(HttpDiscovery), metrics.clone());
     let followed = driver.clone();
     spawn_local(async move {
         while reload.recv().await.is_some() {
             match config::reload(environment) {
                 Ok(discovery) => followed.follow(discovery),
-                Err(why) => net::io::log(format_args!("not reloaded: {why}")),
+                Err(why) => tracing::error!("not reloaded: {why}"),
             }
         }
     });
@@ -105,15 +102,26 @@
     Ok(())
 }
 
+/// Says a word to whoever started the program. Guards against the panic of `eprintln!` where nobody reads it.
+fn say(word: impl std::fmt::Display) {
+    let _ = writeln!(std::io::stderr(), "hillstall: {word}");
+}
+
 fn main() -> ExitCode {
+    let logs = logs::Logs::start(logs::Format::Text, logs::Verbosity::Info);
     let ran = config::load(environment).and_then(|config| {
         let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
         LocalSet::new().block_on(&runtime, run(config))
     });
     match ran {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => {
+            if logs.dropped() > 0 {
+                say(format_args!("{} lines of the log were dropped unread", logs.dropped()));
+            }
+            ExitCode::SUCCESS
+        }
         Err(why) => {
-            net::io::log(why);
+            say(why);
             ExitCode::FAILURE
         }
     }
--- a/src/net/stream.rs
+++ b/crates/http1/src/body.rs
@@ -1,21 +1,18 @@
-//! Messages too long to be held: a caller's body on its way to a backend, and a backend's answer on its way
-//! back. Each is pulled by the side that writes, so nothing is read before there is room for it.
+//! A caller's body on its way to a backend. One too long to be held is pulled by the side that writes, so nothing
+//! is read before there is room for it.
 
-use super::io::Wire;
-use super::limits::{Taken, MESSAGE_MOST, STALL};
-use super::upstream::Conn;
+use crate::io::Wire;
 use bytes::Bytes;
+use hillstall_core::limits::{Taken, MESSAGE_MOST, STALL};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::future::Future;
 use std::io::{Error, ErrorKind};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::time::{sleep, Sleep};
 
 /// What has been read of a message, and the source of the rest.
 pub struct Rest {
@@ -31,11 +28,11 @@
     }
 
     /// The next piece of data; other parts of a message stay behind.
-    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
+    pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
         let piece = match self.first.pop_front() {
             Some(piece) => piece,
             None => loop {
-                match std::task::ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
                     None => return Poll::Ready(None),
                     Some(Err(e)) => return Poll::Ready(Some(Err(Error::other(e)))),
                     Some(Ok(frame)) => {
@@ -55,11 +52,13 @@
         }))
     }
 
-    fn is_end_stream(&self) -> bool {
+    /// Whether all of it was given.
+    pub fn is_end_stream(&self) -> bool {
         self.first.is_empty() && self.body.is_end_stream()
     }
 
-    fn size_hint(&self) -> SizeHint {
+    /// How much is to come.
+    pub fn size_hint(&self) -> SizeHint {
         let first: usize = self.first.iter().map(Bytes::len).sum();
         match self.body.size_hint().exact() {
             Some(body) => SizeHint::with_exact(first as u64 + body),
@@ -219,101 +218,3 @@
         }
     }
 }
-
-/// How far an answer that passes has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Passed {
-    /// There is more.
-    Partly,
-    /// All of it.
-    Whole,
-    /// It broke; the caller must see that.
-    Broken,
-}
-
-/// A backend's answer that is passed on as it comes, with the connection it comes on.
-pub struct Download {
-    rest: Rest,
-    conn: Option<Conn>,
-    keep: Option<Box<dyn FnOnce(Conn)>>,
-    passed: Passed,
-    stall: Option<Pin<Box<Sleep>>>,
-    _room: Taken,
-}
-
-impl Download {
-    /// An answer, and what becomes of its connection if that can carry another.
-    pub fn new(rest: Rest, conn: Conn, room: Taken, keep: impl FnOnce(Conn) + 'static) -> Download {
-        let (conn, keep) = (Some(conn), Some(Box::new(keep) as Box<dyn FnOnce(Conn)>));
-        Download { rest, conn, keep, passed: Passed::Partly, stall: None, _room: room }
-    }
-
-    /// How far it has come.
-    pub fn passed(&self) -> Passed {
-        self.passed
-    }
-
-    fn finish(&mut self, cx: &mut Context<'_>) {
-        self.passed = Passed::Whole;
-        if let (Some(mut conn), Some(keep)) = (self.conn.take(), self.keep.take()) {
-            if conn.is_settled(cx) {
-                keep(conn);
-            }
-        }
-    }
-
-    fn broken(&mut self, why: Error) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        self.passed = Passed::Broken;
-        self.conn = None;
-        Poll::Ready(Some(Err(why)))
-    }
-}
-
-impl Body for Download {
-    type Data = Bytes;
-    type Error = Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        let me = &mut *self;
-        if me.passed != Passed::Partly {
-            return Poll::Ready(None);
-        }
-        if let Some(conn) = &mut me.conn {
-            conn.drive(cx);
-        }
-        match me.rest.poll_data(cx) {
-            Poll::Ready(Some(Ok(piece))) => {
-                me.stall = None;
-                if me.rest.is_end_stream() {
-                    me.finish(cx);
-                }
-                Poll::Ready(Some(Ok(Frame::data(piece))))
-            }
-            Poll::Ready(Some(Err(why))) => me.broken(why),
-            Poll::Ready(None) => {
-                me.finish(cx);
-                Poll::Ready(None)
-            }
-            Poll::Pending => {
-                let stall = me.stall.get_or_insert_with(|| Box::pin(sleep(STALL)));
-                match stall.as_mut().poll(cx) {
-                    Poll::Pending => Poll::Pending,
-                    Poll::Ready(()) => {
-                        me.broken(Error::new(ErrorKind::TimedOut, "the backend has fallen silent"))
-                    }
-                }
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.passed == Passed::Whole
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.rest.size_hint()
-    }
-}
--- /dev/null
+++ b/crates/http1/src/conn.rs
@@ -0,0 +1,175 @@
+//! One connection to a backend, and the exchanges on it.
+
+use crate::body::{Outgoing, Rest};
+use crate::io::{Io, Wire};
+use bytes::Bytes;
+use hillstall_core::limits::{
+    Body, Limits, Taken, ANSWER_HOLD, ANSWER_TIME, BODY_MOST, MESSAGE_MOST, READ_AHEAD,
+};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use hyper::header::{self, HeaderMap};
+use hyper::{Method, Request, StatusCode};
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Instant;
+use tokio::net::TcpStream;
+use tokio::time::timeout_at;
+
+/// A connection and its protocol in one piece: dropping it closes the socket at once, also with a request
+/// out, so that no attempt outlives its giving up.
+pub struct Conn {
+    sender: SendRequest<Outgoing>,
+    protocol: Pin<Box<Connection<Io, Outgoing>>>,
+    over: bool,
+    wire: Rc<Wire>,
+    _counted: Taken,
+}
+
+impl Conn {
+    /// Opens the protocol on a stream.
+    pub async fn open(stream: TcpStream, counted: Taken) -> Result<Conn, hyper::Error> {
+        let wire = Wire::new(stream);
+        let opened = Builder::new().max_buf_size(READ_AHEAD).handshake(Io(wire.clone())).await;
+        let (sender, protocol) = opened?;
+        Ok(Conn { sender, protocol: Box::pin(protocol), over: false, wire, _counted: counted })
+    }
+
+    /// What is known of its traffic.
+    pub fn wire(&self) -> &Wire {
+        &self.wire
+    }
+
+    /// Lets the protocol go on.
+    pub fn drive(&mut self, cx: &mut Context<'_>) {
+        self.over = self.over || self.protocol.as_mut().poll(cx).is_ready();
+    }
+
+    /// Lets the protocol see the end of the last exchange; true if the connection can carry another.
+    pub fn is_settled(&mut self, cx: &mut Context<'_>) -> bool {
+        self.drive(cx);
+        !self.over && self.sender.is_ready() && self.wire.is_quiet()
+    }
+
+    /// The same at once.
+    pub async fn settle(&mut self) -> bool {
+        poll_fn(|cx| Poll::Ready(self.is_settled(cx))).await
+    }
+
+    /// One request and its answer, or as much of it as is held. No answer, if it is not whole by its own word,
+    /// or larger than there is room for; an answer without a body that can be served is complete with its head.
+    pub async fn exchange(&mut self, request: Request<Outgoing>, limits: &Limits) -> Result<Exchanged, ()> {
+        let bodiless = request.method() == Method::HEAD;
+        let answer = async {
+            let response = self.sender.send_request(request).await.map_err(drop)?;
+            let (head, body) = response.into_parts();
+            let read = async {
+                let length = if bodiless { Framed::Bytes(0) } else { framed(&head.headers).ok_or(())? };
+                gather(body, length, limits).await
+            };
+            let body: Result<_, ()> = read.await;
+            match body {
+                Err(()) if head.status == StatusCode::OK => Err(()),
+                body => Ok(Exchanged { status: head.status, headers: head.headers, body: body.ok() }),
+            }
+        };
+        tokio::pin!(answer);
+        tokio::select! {
+            biased;
+            answer = &mut answer => return answer,
+            // What the protocol has read before its end is still to be had.
+            _ = &mut self.protocol, if !self.over => self.over = true,
+        }
+        answer.await
+    }
+}
+
+/// What came back for one request.
+pub struct Exchanged {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body, if it could be had.
+    pub body: Option<Gathered>,
+}
+
+/// What was read of an answer's body.
+pub enum Gathered {
+    /// All of it.
+    Whole(Body),
+    /// The first pieces of a long one.
+    Begun(Rest, Taken),
+}
+
+/// Reads a body, until it is whole or begins to pass. What tells no length may be long: after a short while
+/// its first bytes matter more than a second try.
+async fn gather(mut body: Incoming, length: Framed, limits: &Limits) -> Result<Gathered, ()> {
+    let (most, long) = match length {
+        Framed::Bytes(bytes) if bytes > MESSAGE_MOST as u64 => return Err(()),
+        Framed::Bytes(bytes) => ((bytes as usize).min(BODY_MOST), bytes > BODY_MOST as u64),
+        Framed::Untold => (BODY_MOST, false),
+    };
+    let mut room = limits.bytes.take(most).ok_or(())?;
+    let early = Instant::now() + if length == Framed::Untold { ANSWER_HOLD } else { ANSWER_TIME };
+    let (mut first, mut held) = (VecDeque::new(), 0);
+    loop {
+        let passes = long || (length == Framed::Untold && Instant::now() >= early);
+        if held > 0 && (passes || held > BODY_MOST) {
+            return Ok(Gathered::Begun(Rest::new(first, body), room));
+        }
+        let stalled = Instant::now() + ANSWER_TIME;
+        let until = if length == Framed::Untold && held > 0 { early } else { stalled };
+        match timeout_at(until.into(), body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(piece) = frame.into_data() {
+                    held += piece.len();
+                    first.push_back(piece);
+                }
+            }
+            Ok(Some(Err(_))) => return Err(()),
+            Ok(None) => break,
+            Err(_) if until < stalled => {}
+            Err(_) => return Err(()),
+        }
+    }
+    room.keep(held);
+    Ok(Gathered::Whole(Body::new(joined(first), room)))
+}
+
+/// The pieces of a body in one.
+pub fn joined(mut pieces: VecDeque<Bytes>) -> Bytes {
+    match (pieces.len(), pieces.pop_front()) {
+        (1, Some(only)) => only,
+        (_, first) => first.into_iter().chain(pieces).collect::<Vec<_>>().concat().into(),
+    }
+}
+
+/// How long a body is by its head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framed {
+    /// So many bytes.
+    Bytes(u64),
+    /// Chunks, or the connection's end, will tell.
+    Untold,
+}
+
+/// How long an answer's body is by its head; `None` if it says so twice, or in a way that nobody knows.
+fn framed(headers: &HeaderMap) -> Option<Framed> {
+    let once = |name| {
+        let mut values = headers.get_all(name).iter();
+        let value = values.next();
+        (value.and_then(|v| v.to_str().ok()), value.is_none(), values.next().is_some())
+    };
+    match (once(header::CONTENT_LENGTH), once(header::TRANSFER_ENCODING)) {
+        ((Some(length), _, false), (_, true, _)) => length.parse().ok().map(Framed::Bytes),
+        ((_, true, _), (Some(how), _, false)) if how.eq_ignore_ascii_case("chunked") => Some(Framed::Untold),
+        ((_, true, _), (_, true, _)) => Some(Framed::Untold),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/http1/src/front/call.rs
@@ -0,0 +1,207 @@
+//! One call: from its head to its final answer.
+
+use super::caller::Caller;
+use super::head::{single, Bad, OpenId, REQUEST_ID};
+use super::reply::{ended, plain, refusal, Reading, Replied, Reply};
+use super::{Server, TIDY};
+use crate::body::{discard, Rest, Upload};
+use crate::conn::joined;
+use crate::message::{AnswerBody, Inbound, Payload};
+use bytes::Bytes;
+use hillstall_core::driver::Final;
+use hillstall_core::lifecycle::Phase;
+use hillstall_core::limits::{self, BODY_MOST, MESSAGE_MOST};
+use hillstall_core::metrics::Ending;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::{Method, Request, Response, StatusCode};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::timeout_at;
+
+/// When a caller that there is no room for may come back.
+const NO_ROOM_MS: f64 = 500.0;
+/// How long `/up` waits for discovery before it makes do with the known list, or with none at all.
+const UP_KNOWN: Duration = Duration::from_millis(1_000);
+const UP_ANYWAY: Duration = Duration::from_millis(4_000);
+/// The module answers at the deadline. If it has not so long after, the driver does.
+const OVERDUE: Duration = Duration::from_millis(10);
+
+impl Server {
+    pub(super) async fn serve(&self, caller: &Rc<Caller>, request: Request<Incoming>) -> Reply {
+        caller.last.take();
+        let answered = self.answer(caller, request).await;
+        let passes = answered.as_ref().is_ok_and(|reply| reply.body().busy.is_some());
+        let mut cut_short = false;
+        if !passes {
+            // The caller may still be sending what will not be needed.
+            let rest =
+                caller.upload.borrow().as_ref().filter(|u| u.deadline().is_none()).and_then(|u| u.take());
+            if let Some(rest) = rest {
+                cut_short = true;
+                spawn_local(discard(rest));
+            }
+            caller.rests();
+        }
+        // What follows a bad request on its connection may be part of it, so nothing is read from there.
+        let close = answered.is_err() || cut_short || self.lifecycle.closes_idle();
+        let mut reply = answered.unwrap_or_else(|(status, why)| plain(status, why));
+        if close {
+            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        if reply.status() != StatusCode::OK {
+            // Guards the others against one that asks again as soon as it is turned away.
+            yield_now().await;
+        }
+        reply
+    }
+
+    async fn answer(&self, caller: &Rc<Caller>, request: Request<Incoming>) -> Result<Reply, Bad> {
+        let (head, body) = request.into_parts();
+        let codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+        if caller.wire.is_ambiguous() || codings.count() > 1 {
+            // hyper hides a Content-Length that stands beside chunks, and a second request may hide in the body.
+            return Err((StatusCode::BAD_REQUEST, "a request's length is told twice"));
+        }
+        let coding = single(&head.headers, TRANSFER_ENCODING.as_str());
+        if coding.is_some_and(|coding| !coding.eq_ignore_ascii_case("chunked")) {
+            return Err((StatusCode::NOT_IMPLEMENTED, "chunks are the only coding there is"));
+        }
+        if head.uri.path() == "/up" {
+            // Anybody may ask this, so it proves nothing of the caller.
+            return Ok(self.up());
+        }
+        let (mut asked, timeout_ms) = self.read_head(&head)?;
+        let path = head.uri.path_and_query().ok_or((StatusCode::BAD_REQUEST, "no path"))?.clone();
+        let length = body.size_hint().exact();
+        if length.is_some_and(|length| length > MESSAGE_MOST as u64) {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+        }
+        let hold = length.map_or(BODY_MOST, |length| (length as usize).min(BODY_MOST));
+        let Some(mut room) = self.limits.bytes.take(hold) else {
+            self.metrics.count(asked.class, Ending::Deferred);
+            return Ok(self.no_room());
+        };
+        let timeout = Duration::from_millis(timeout_ms.into());
+        let (first, rest) = read(body).await.ok_or((StatusCode::BAD_REQUEST, "the body is cut short"))?;
+        if caller.wire.is_ambiguous() {
+            return Err((StatusCode::BAD_REQUEST, "the body is not in chunks"));
+        }
+        if head.method != Method::POST && !(first.is_empty() && rest.is_none()) {
+            return Err((StatusCode::BAD_REQUEST, "only a POST has a body"));
+        }
+        let body = match rest {
+            None => {
+                let bytes = joined(first);
+                room.keep(bytes.len());
+                Payload::Held(limits::Body::new(bytes, room))
+            }
+            Some(body) => {
+                Payload::Passing(Upload::new(caller.wire.clone(), timeout, Rest::new(first, body), room))
+            }
+        };
+        let id = single(&head.headers, REQUEST_ID).unwrap_or_default();
+        let _open = OpenId::new(&self.open_ids, id).ok_or((StatusCode::CONFLICT, "the id is in use"))?;
+        caller.taken.set(true);
+        caller.proven.set(true);
+        let open = self.metrics.begin(asked.class);
+        // The time runs from the request's last byte, which was the last thing read unless the body passes.
+        asked.deadline = caller.wire.last_read() + timeout;
+        let due = asked.deadline + OVERDUE;
+        let upload = match &body {
+            Payload::Passing(upload) => Some(upload.clone()),
+            Payload::Held(_) => None,
+        };
+        caller.upload.replace(upload.clone());
+        let bodiless = head.method == Method::HEAD;
+        let inbound = Inbound { method: head.method, path, headers: head.headers, body };
+        let Some((guard, mut answer)) = self.driver.request(asked, inbound) else {
+            return Ok(ended(self.no_room(), open, Ending::Deferred));
+        };
+        let answer = loop {
+            let due = match &upload {
+                None => Some(due),
+                Some(upload) => upload.deadline().map(|deadline| deadline + OVERDUE),
+            };
+            let until = due.unwrap_or_else(|| Instant::now() + TIDY);
+            match timeout_at(until.into(), &mut answer).await {
+                Ok(answer) => break answer,
+                Err(_) if due.is_none() => {}
+                Err(_) => {
+                    guard.close();
+                    break answer.await;
+                }
+            }
+        };
+        Ok(match answer {
+            Ok(Final::Served(answer)) => {
+                let (body, busy) = match answer.body {
+                    AnswerBody::Held(body) => {
+                        let bytes = body.bytes.clone();
+                        caller.last.replace(Some(body));
+                        (Reading::Held(Full::new(bytes)), None)
+                    }
+                    AnswerBody::Passing(answer) => (Reading::Passing(answer), Some(caller.clone())),
+                };
+                let mut reply = Response::new(Replied { body, open: None, busy });
+                let kept = if bodiless { &[CONTENT_TYPE, CONTENT_LENGTH][..] } else { &[CONTENT_TYPE] };
+                for name in kept {
+                    if let Some(value) = answer.headers.get(name) {
+                        reply.headers_mut().insert(name, value.clone());
+                    }
+                }
+                ended(reply, open, Ending::Answered)
+            }
+            Ok(Final::Refused(after_ms)) => ended(refusal(after_ms), open, Ending::Deferred),
+            Ok(Final::Rejected(status)) => {
+                open.end(Ending::Errored);
+                return Err((status, "a backend found fault with it"));
+            }
+            Ok(Final::Failed) | Err(_) => {
+                ended(plain(StatusCode::BAD_GATEWAY, "failed"), open, Ending::Errored)
+            }
+        })
+    }
+
+    /// A refusal for want of room, which says when to come back where that is allowed.
+    fn no_room(&self) -> Reply {
+        refusal(if self.retry_after { NO_ROOM_MS } else { 0.0 })
+    }
+
+    /// Whether calls can be served: there is a backend list, or none is to be had.
+    pub fn is_ready(&self) -> bool {
+        let most = if self.knows_some { UP_KNOWN } else { UP_ANYWAY };
+        self.driver.is_listed() || self.started.elapsed() >= most
+    }
+
+    fn up(&self) -> Reply {
+        match (self.lifecycle.phase(), self.is_ready()) {
+            (Phase::Serving, true) => plain(StatusCode::OK, "ok"),
+            (Phase::Starting, _) => plain(StatusCode::SERVICE_UNAVAILABLE, "starting"),
+            (Phase::Serving, false) => plain(StatusCode::SERVICE_UNAVAILABLE, "no backend list yet"),
+            (Phase::Draining, _) => plain(StatusCode::SERVICE_UNAVAILABLE, "draining"),
+            (Phase::Stopping, _) => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        }
+    }
+}
+
+/// Reads a body to its end, or until it is too long to be held; then the rest comes too. `None` if it is cut
+/// short.
+async fn read(mut body: Incoming) -> Option<(VecDeque<Bytes>, Option<Incoming>)> {
+    let (mut first, mut held) = (VecDeque::new(), 0);
+    while held <= BODY_MOST {
+        match body.frame().await {
+            None => return Some((first, None)),
+            Some(frame) => {
+                if let Ok(piece) = frame.ok()?.into_data() {
+                    held += piece.len();
+                    first.push_back(piece);
+                }
+            }
+        }
+    }
+    Some((first, Some(body)))
+}
--- /dev/null
+++ b/crates/http1/src/front/caller.rs
@@ -0,0 +1,70 @@
+//! One caller's connection, and what is known of it.
+
+use crate::body::Upload;
+use crate::io::Wire;
+use hillstall_core::limits::{self, Taken, REQUEST_TIME};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::sync::Notify;
+
+/// How far the end of a caller's connection has come.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum Closing {
+    No,
+    /// Once what it has begun is done.
+    InOrder,
+    /// At once: nothing was taken from it that is still open.
+    Now,
+}
+
+pub(super) struct Caller {
+    pub(super) wire: Rc<Wire>,
+    /// A whole request of its was taken and has no answer yet.
+    pub(super) taken: Cell<bool>,
+    /// It has brought a good request before.
+    pub(super) proven: Cell<bool>,
+    /// When it connected, or had its last answer.
+    pub(super) used: Cell<Instant>,
+    /// Its last answer, which may still wait to be written; let go once it is seen to be out.
+    pub(super) last: RefCell<Option<limits::Body>>,
+    /// Its body that passes.
+    pub(super) upload: RefCell<Option<Rc<Upload>>>,
+    pub(super) closing: Cell<Closing>,
+    pub(super) close: Notify,
+    pub(super) _counted: Taken,
+}
+
+impl Caller {
+    /// Whether its connection can be closed without harm: nothing of a request was read or waits to be.
+    pub(super) fn is_idle(&self) -> bool {
+        let between = !self.taken.get() && self.wire.begun().is_none() && !self.wire.is_stuck();
+        between && self.closing.get() == Closing::No && self.wire.is_quiet()
+    }
+
+    /// Whether it has kept the proxy waiting for a whole request for too long: it says nothing, its head does
+    /// not end, or its body trickles. Between two requests a used connection may rest.
+    pub(super) fn is_overdue(&self) -> bool {
+        let from = if self.proven.get() { self.wire.begun() } else { Some(self.used.get()) };
+        // What passes is taken before it is whole, and waits for it only if the backend could take more.
+        let awaited = match &*self.upload.borrow() {
+            Some(upload) => upload.is_awaited(),
+            None => !self.taken.get(),
+        };
+        let late = |from: Instant| from.elapsed() >= REQUEST_TIME && self.wire.step_time() >= REQUEST_TIME;
+        awaited && from.is_some_and(late)
+    }
+
+    /// The present request is done with.
+    pub(super) fn rests(&self) {
+        self.taken.set(false);
+        self.upload.take();
+        self.used.set(Instant::now());
+        self.wire.message_over();
+    }
+
+    pub(super) fn close(&self, how: Closing) {
+        self.closing.set(how);
+        self.close.notify_one();
+    }
+}
--- a/src/net/io.rs
+++ b/crates/http1/src/io.rs
@@ -1,45 +1,22 @@
 //! The thin wrapper between hyper and a TCP stream. It stamps the last read, from which deadlines run, and
 //! follows a request on its way out, so that it is known whether the last byte of it was written.
 
-use super::framing::Framing;
-use super::limits::{REQUEST_STEP, STALL, SYSTEM_BUFFER};
-use super::metrics::Counter;
+use crate::framing::Framing;
+use hillstall_core::limits::{REQUEST_STEP, STALL, SYSTEM_BUFFER};
+use hillstall_core::metrics::Counter;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::io::{ErrorKind, Result, Write as _};
+use std::io::{ErrorKind, Result};
 use std::mem::MaybeUninit;
-use std::net::{Shutdown, SocketAddr};
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-
-/// Writes a line to the log. Guards against the panic of `eprintln!` where nobody reads the log any more.
-pub fn log(line: impl std::fmt::Display) {
-    let _ = writeln!(std::io::stderr(), "hillstall: {line}");
-}
-
-/// Listens at an address where another process of this proxy may listen too.
-pub fn listen(address: SocketAddr) -> Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.set_reuseport(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
-/// Whether a call failed because this process, or the system, may open no more descriptors.
-pub fn out_of_descriptors(error: &std::io::Error) -> bool {
-    const ENFILE: i32 = 23;
-    const EMFILE: i32 = 24;
-    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
-}
+use tokio::net::TcpStream;
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
 const LAST_CHUNK: &[u8; 5] = b"0\r\n\r\n";
 const CHUNK: usize = 8 * 1024;
 
--- /dev/null
+++ b/crates/http1/src/lib.rs
@@ -0,0 +1,14 @@
+//! HTTP/1.1 for hillstall: the front that takes calls, the carrier that sends them to backends, and the
+//! platform's discovery service. How messages are framed is hyper's; what is added here is what the rules need:
+//! whether the last byte of a call was written, what came behind an answer, and bounds on all that is held.
+
+pub mod body;
+pub mod conn;
+pub mod discovery;
+pub mod download;
+pub mod framing;
+pub mod front;
+pub mod io;
+pub mod message;
+pub mod report;
+pub mod upstream;
--- /dev/null
+++ b/crates/http1/src/message.rs
@@ -0,0 +1,76 @@
+//! Calls and answers in the form of HTTP.
+
+use crate::body::Upload;
+use crate::download::Download;
+use crate::io::Length;
+use hillstall_core::limits::Body;
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::http::uri::PathAndQuery;
+use hyper::Method;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// How long a caller waits.
+pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("request-timeout-ms");
+
+/// A caller's request, as it goes on to a backend.
+pub struct Inbound {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub path: PathAndQuery,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Payload,
+}
+
+/// The body of a caller's request.
+pub enum Payload {
+    /// Held whole.
+    Held(Body),
+    /// Too long to be held.
+    Passing(Rc<Upload>),
+}
+
+impl Inbound {
+    /// How long it is.
+    pub fn length(&self) -> Length {
+        match &self.body {
+            Payload::Held(body) => Length::Known(body.bytes.len()),
+            Payload::Passing(upload) => match upload.length() {
+                Some(length) => Length::Known(length as usize),
+                None => Length::Chunks(upload.ended()),
+            },
+        }
+    }
+}
+
+impl hillstall_core::carrier::Payload for Inbound {
+    fn is_spent(&self) -> bool {
+        matches!(&self.body, Payload::Passing(upload) if upload.is_spent())
+    }
+
+    fn whole_at(&self) -> Option<Instant> {
+        match &self.body {
+            Payload::Held(_) => None,
+            Payload::Passing(upload) => Some(upload.deadline()? - upload.timeout()),
+        }
+    }
+}
+
+/// An answer.
+pub struct Answer {
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: AnswerBody,
+}
+
+/// The body of an answer.
+pub enum AnswerBody {
+    /// Held whole.
+    Held(Body),
+    /// Too long to be held.
+    Passing(Box<Download>),
+}
--- /dev/null
+++ b/crates/http1/src/report.rs
@@ -0,0 +1,53 @@
+//! Load reports, where the deployment has them.
+
+use hillstall_module::api::{Report, ReportField};
+use hyper::header::{HeaderMap, HeaderName};
+
+const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
+
+/// Reads reports with the fields that the settings name.
+pub struct Reports {
+    fields: Vec<ReportField>,
+}
+
+impl Reports {
+    /// A reader for these fields.
+    pub fn new(fields: Vec<ReportField>) -> Reports {
+        Reports { fields }
+    }
+
+    /// The report in the headers of an answer.
+    pub fn of(&self, headers: &HeaderMap) -> Report {
+        let text = headers.get(SERVER_LOAD).and_then(|value| value.to_str().ok());
+        self.parse(text.unwrap_or_default())
+    }
+
+    /// Reads `name=value,name=value` in the order of the settings; none unless all that they name is there and
+    /// can be true: a peer's numbers are not to be trusted.
+    pub fn parse(&self, text: &str) -> Report {
+        let mut report = Report::default();
+        for field in &self.fields {
+            let mut values = text.split(',').filter_map(|part| part.split_once('='));
+            let value = values.find(|(name, _)| field_named(name.trim()) == *field);
+            let value = value.and_then(|(_, value)| value.trim().parse::<f32>().ok());
+            let Some(value) = value.filter(|value| value.is_finite() && *value >= 0.0) else {
+                return Report::default();
+            };
+            report.values[usize::from(report.len)] = value;
+            report.len += 1;
+        }
+        report
+    }
+}
+
+fn field_named(name: &str) -> ReportField {
+    match name {
+        "inflight" | "active" => ReportField::Active,
+        "queue" | "waiting" => ReportField::Waiting,
+        "util" | "cpu" => ReportField::Cpu,
+        "latency_ms" | "avg_ms" => ReportField::LatencyMs,
+        "qps" | "rps" => ReportField::PerSecond,
+        "eps" | "err_rps" => ReportField::ErrorsPerSecond,
+        _ => ReportField::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/http1/src/upstream.rs
@@ -0,0 +1,322 @@
+//! Attempts at backends, and the pool of connections to them.
+
+use crate::body::Outgoing;
+use crate::conn::{Conn, Exchanged, Gathered};
+use crate::download::Download;
+use crate::message::{Answer, AnswerBody, Inbound, Payload, TIMEOUT_HEADER};
+use crate::report::Reports;
+use hillstall_core::carrier::{Attempt, Carrier, Ended};
+use hillstall_core::limits::Limits;
+use hillstall_core::sockets::out_of_descriptors;
+use hillstall_module::api::{BackendId, Outcome, ReportField};
+use http_body_util::Full;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{header, Request, StatusCode, Uri};
+use rustc_hash::FxHashMap;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, sleep_until, timeout_at};
+
+/// Headers that speak of one connection and stay on it, and those that are written anew.
+const OWN_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+];
+/// How long a connection rests after an answer: what comes right behind one must be seen before the connection
+/// is used again, or it would be taken for the next answer.
+const REST: Duration = Duration::from_millis(2);
+/// How often an attempt whose body passes is looked at.
+const LOOK: Duration = Duration::from_millis(20);
+const NOT_STARTED: HeaderName = HeaderName::from_static("not-started");
+
+/// Where a probe asks whether a backend is alive, and where for its load as well.
+const ALIVE_PATH: &str = "/alive";
+const LOAD_PATH: &str = "/metrics/load";
+
+struct Idle {
+    conn: Conn,
+    address: SocketAddr,
+    since: Instant,
+}
+
+/// Carries calls to backends over HTTP/1.1.
+pub struct Upstream {
+    idle: RefCell<FxHashMap<BackendId, Vec<Idle>>>,
+    limits: Rc<Limits>,
+    connect_timeout: Duration,
+    idle_most: Duration,
+    reports: Reports,
+}
+
+impl Upstream {
+    /// A pool that holds its share of connections. Idle ones are dropped at half of the time at which
+    /// backends close them: a request that crosses such a close would be lost.
+    pub fn new(
+        limits: Rc<Limits>,
+        connect_ms: f64,
+        idle_close_ms: f64,
+        fields: Vec<ReportField>,
+    ) -> Upstream {
+        let span = |ms: f64| Duration::from_secs_f64(ms.clamp(0.0, 3.6e6) / 1000.0);
+        Upstream {
+            idle: RefCell::default(),
+            limits,
+            connect_timeout: span(connect_ms),
+            idle_most: span(idle_close_ms / 2.0),
+            reports: Reports::new(fields),
+        }
+    }
+
+    /// Drops what has been idle for long, or was closed at the other end.
+    pub fn reap(&self) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|_, list| {
+            list.retain(|i| now.duration_since(i.since) < self.idle_most && i.conn.wire().is_quiet());
+            !list.is_empty()
+        });
+    }
+
+    /// Drops the connection that has been idle longest; false if there is none.
+    pub fn shed(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter().filter_map(|(id, list)| Some((list.first()?.since, *id))).min();
+        let Some(list) = oldest.and_then(|(_, id)| idle.get_mut(&id)) else { return false };
+        list.remove(0);
+        true
+    }
+
+    /// Drops the idle connections to a backend that carried nothing since then.
+    fn close_idle_since(&self, backend: BackendId, then: Instant) {
+        if let Some(list) = self.idle.borrow_mut().get_mut(&backend) {
+            list.retain(|idle| idle.since > then);
+        }
+    }
+
+    fn put_back(&self, backend: BackendId, address: SocketAddr, conn: Conn) {
+        let idle = Idle { conn, address, since: Instant::now() };
+        self.idle.borrow_mut().entry(backend).or_default().push(idle);
+    }
+
+    /// The connection to a backend that was used last and has rested, if one is alive.
+    async fn take_idle(&self, backend: BackendId, address: SocketAddr) -> Option<Conn> {
+        loop {
+            let Idle { conn, since, .. } = {
+                let mut idle = self.idle.borrow_mut();
+                let list = idle.get_mut(&backend)?;
+                list.retain(|idle| idle.address == address);
+                let rested = list.iter().rposition(|idle| idle.since.elapsed() >= REST);
+                let at = rested.or_else(|| list.len().checked_sub(1))?;
+                list.remove(at)
+            };
+            // Even a sleep of no length waits for the runtime's next millisecond.
+            if let Some(rest) = REST.checked_sub(since.elapsed()).filter(|rest| !rest.is_zero()) {
+                sleep(rest).await;
+            }
+            if since.elapsed() < self.idle_most && conn.wire().is_quiet() {
+                return Some(conn);
+            }
+        }
+    }
+
+    /// A new connection. Want of sockets here is told as [`Outcome::Moot`]: it says nothing of the backend.
+    async fn connect(&self, address: SocketAddr, until: Instant) -> Result<Conn, Outcome> {
+        let counted = loop {
+            match self.limits.upstream.take(1) {
+                Some(counted) => break counted,
+                None if self.shed() => {}
+                None => return Err(Outcome::Moot),
+            }
+        };
+        let until = until.min(Instant::now() + self.connect_timeout);
+        let stream = match timeout_at(until.into(), TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) if out_of_descriptors(&e) => {
+                self.shed();
+                return Err(Outcome::Moot);
+            }
+            _ => return Err(Outcome::ConnectFailed),
+        };
+        Conn::open(stream, counted).await.map_err(|_| Outcome::ConnectFailed)
+    }
+
+    /// One attempt of a request, which ends at its deadline or after its `most`. When this returns, the
+    /// request is no longer out on any open connection.
+    async fn carry(self: &Rc<Self>, attempt: Attempt<Upstream>) -> Ended<Upstream> {
+        let Attempt { call, backend, address, deadline, most, sends, permit } = attempt;
+        let inbound = &*call;
+        let sent = Instant::now();
+        let mut idle = self.take_idle(backend, address).await;
+        // A rest just now does not count: a time-out may be as short as that.
+        let until = match &inbound.body {
+            Payload::Held(_) => deadline.min(Instant::now() + most),
+            Payload::Passing(_) => Instant::now() + self.connect_timeout,
+        };
+        loop {
+            let pooled = idle.is_some();
+            let conn = match idle.take() {
+                Some(conn) => Ok(conn),
+                None => self.connect(address, until).await,
+            };
+            let mut conn = match conn {
+                Ok(conn) => conn,
+                Err(outcome) => return Ended::now(outcome),
+            };
+            // Guards a drain that was told while the connection came up: nothing new may start then.
+            if !permit.may_write() {
+                return Ended::now(Outcome::ConnectFailed);
+            }
+            let left = match &inbound.body {
+                Payload::Held(_) => until.saturating_duration_since(Instant::now()),
+                Payload::Passing(upload) => upload.timeout().min(most),
+            };
+            let left = left.as_millis() as u64;
+            if left == 0 {
+                return Ended::now(Outcome::Moot);
+            }
+            conn.wire().begin_request(inbound.length(), sends.clone());
+            let exchange = conn.exchange(forward(inbound, left), &self.limits);
+            let result = tokio::select! {
+                biased;
+                result = exchange => Ok(result),
+                () = overdue(inbound, until, most) => Err(()),
+            };
+            if let Ok(Ok(Exchanged { status, headers, body })) = result {
+                let report = self.reports.of(&headers);
+                let at = conn.wire().last_read();
+                let outcome = outcome(status, &headers);
+                let rejected = Some(status).filter(|_| outcome == Outcome::Cancelled);
+                let body = match body {
+                    Some(Gathered::Whole(body)) => {
+                        if conn.settle().await && permit.still_there() {
+                            self.put_back(backend, address, conn);
+                        }
+                        Some(AnswerBody::Held(body))
+                    }
+                    Some(Gathered::Begun(rest, room)) if outcome == Outcome::Ok => {
+                        let me = self.clone();
+                        let keep = move |conn| {
+                            if permit.still_there() {
+                                me.put_back(backend, address, conn);
+                            }
+                        };
+                        Some(AnswerBody::Passing(Box::new(Download::new(rest, conn, room, keep))))
+                    }
+                    _ => None,
+                };
+                let body = body.filter(|_| outcome == Outcome::Ok);
+                let answer = body.map(|body| Answer { headers, body });
+                return Ended { outcome, at, report, answer, rejected };
+            }
+            if pooled && result.is_ok() && !conn.wire().request_begun() {
+                // It died in the pool and not a byte of the request went out: a fresh one serves as well.
+                continue;
+            }
+            // A machine that was cut off says nothing, and its pooled connections look alive for ever. A fresh
+            // one fails soon, and with nothing sent. What has carried an answer meanwhile is alive; and any
+            // other end speaks of its own connection alone.
+            if result.is_err() {
+                self.close_idle_since(backend, sent);
+            }
+            return Ended::now(match (conn.wire().request_whole(), result) {
+                // A backend begins a request with its last byte: this one never began.
+                (false, _) => Outcome::ConnectFailed,
+                (true, Ok(_)) => Outcome::Reset,
+                (true, Err(_)) => Outcome::Timeout,
+            });
+        }
+    }
+
+    /// Checks a backend once, on a connection of its own.
+    async fn check(&self, address: SocketAddr, path: &'static str) -> Ended<Upstream> {
+        let until = Instant::now() + self.connect_timeout * 2;
+        let mut conn = match self.connect(address, until).await {
+            Ok(conn) => conn,
+            Err(outcome) => return Ended::now(outcome),
+        };
+        let request = Request::get(path).header(header::HOST, address.to_string());
+        let request =
+            request.body(Outgoing::Whole(Full::default())).expect("a fixed path and an address are valid");
+        match timeout_at(until.into(), conn.exchange(request, &self.limits)).await {
+            Err(_) => Ended::now(Outcome::Timeout),
+            Ok(Err(())) => Ended::now(Outcome::Reset),
+            Ok(Ok(Exchanged { status, headers, body })) => {
+                let outcome = if status == StatusCode::OK { Outcome::Ok } else { Outcome::Error };
+                let mut report = self.reports.of(&headers);
+                if let (Some(Gathered::Whole(body)), 0) = (body, report.len) {
+                    report = self.reports.parse(std::str::from_utf8(&body.bytes).unwrap_or_default());
+                }
+                Ended { outcome, at: conn.wire().last_read(), report, answer: None, rejected: None }
+            }
+        }
+    }
+}
+
+impl Carrier for Upstream {
+    type Call = Inbound;
+    type Answer = Answer;
+    type Rejection = StatusCode;
+
+    async fn attempt(self: Rc<Self>, attempt: Attempt<Upstream>) -> Ended<Upstream> {
+        self.carry(attempt).await
+    }
+
+    async fn probe(self: Rc<Self>, address: SocketAddr, report: bool) -> Ended<Upstream> {
+        self.check(address, if report { LOAD_PATH } else { ALIVE_PATH }).await
+    }
+
+    fn close_idle(&self, backend: BackendId) {
+        self.idle.borrow_mut().remove(&backend);
+    }
+}
+
+fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    let unseen = headers.get(NOT_STARTED).is_some_and(|value| value == "1");
+    match status {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => Outcome::Full,
+        // The request's own fault: no word on the backend's health, and no claim that it never ran.
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS => Outcome::Error,
+        status if status.is_client_error() => Outcome::Cancelled,
+        _ => Outcome::Error,
+    }
+}
+
+fn forward(inbound: &Inbound, left_ms: u64) -> Request<Outgoing> {
+    let mut request = Request::new(match &inbound.body {
+        Payload::Held(body) => Outgoing::Whole(Full::new(body.bytes.clone())),
+        Payload::Passing(upload) => Outgoing::passing(upload),
+    });
+    *request.method_mut() = inbound.method.clone();
+    *request.uri_mut() = Uri::from(inbound.path.clone());
+    let mut headers = inbound.headers.clone();
+    for name in &OWN_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.insert(TIMEOUT_HEADER, HeaderValue::from(left_ms));
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Ends when an attempt of this request must: at `until`, or where the body passes, as long after its last
+/// byte, or when the backend has stopped taking it.
+async fn overdue(inbound: &Inbound, until: Instant, most: Duration) {
+    let Payload::Passing(upload) = &inbound.body else { return sleep_until(until.into()).await };
+    let ended = loop {
+        match upload.deadline() {
+            Some(deadline) => break deadline,
+            None if upload.is_stalled() => return,
+            None => sleep(LOOK).await,
+        }
+    };
+    sleep_until(ended.min(Instant::now() + most).into()).await;
+}
--- a/tests/module.rs
+++ b/crates/module/tests/module.rs
@@ -32,7 +32,8 @@
 
 #[test]
 fn the_on_call_page_quotes_lines_that_the_module_writes() {
-    let page = fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/docs/ONCALL.md")).expect("the page");
+    let page =
+        fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/ONCALL.md")).expect("the page");
     let text = module();
     let quoted: Vec<&str> = page.lines().filter_map(|l| l.strip_prefix("- `")?.split('`').next()).collect();
     assert!(quoted.len() >= 6);
--- a/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,7 +1,6 @@
 //! The settings: every key is read, absent ones get their meaning, unusable ones are named.
 
-use hillstall::api::*;
-use hillstall::wire;
+use hillstall_module::api::*;
 use serde_json::{json, Value};
 
 /// Settings in which every key has a value that is not its default.
@@ -54,7 +53,7 @@
 }
 
 fn read(json: &Value) -> Result<Settings, String> {
-    wire::settings(json.to_string().as_bytes())
+    hillstall_settings::settings(json.to_string().as_bytes())
 }
 
 #[test]
@@ -238,7 +237,11 @@
         assert!(error.contains(&format!(" {key}: ")), "{key} = {bad}: {error}");
     }
     let endless = full().to_string().replace("10000.0", "1e999");
-    assert!(wire::settings(endless.as_bytes()).is_err(), "a number without end");
-    assert!(wire::settings(b"{}").is_err_and(|e| e.contains("MembershipMode") || e.contains("missing field")));
-    assert!(wire::settings(format!("{} x", full()).as_bytes()).is_err(), "text after the settings");
+    assert!(hillstall_settings::settings(endless.as_bytes()).is_err(), "a number without end");
+    assert!(hillstall_settings::settings(b"{}")
+        .is_err_and(|e| e.contains("MembershipMode") || e.contains("missing field")));
+    assert!(
+        hillstall_settings::settings(format!("{} x", full()).as_bytes()).is_err(),
+        "text after the settings"
+    );
 }
