Add a benchmark of the hot path beside a bare byte relay

What the proxy adds to a call was measured by hand. hillstall-bench runs instant servers, their list, the proxy and a bare relay in one process tree, in turn, and prints calls/s, latency, CPU a call from the scheduler's account, refusals, and the memory of idle connections. Its stand-ins are a package of their own (lab).

--- /dev/null
+++ b/crates/lab/src/callers.rs
@@ -0,0 +1,124 @@
+//! Callers in a closed loop, on connections that are kept: each asks again as soon as it has its answer. That
+//! measures what a call costs; how a service stands up to load is for callers that do not wait.
+
+use hdrhistogram::Histogram;
+use httparse::{Response, EMPTY_HEADER};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+
+/// What came of the calls.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    /// Latencies of the answers that were served, in microseconds.
+    pub served: Histogram<u64>,
+    /// Answers 429 and 503.
+    pub refused: u64,
+    /// Any other answer, and connections that ended.
+    pub failed: u64,
+}
+
+impl Default for Tally {
+    fn default() -> Tally {
+        // 3 digits up to 60 s: some KiB, and it can't fail for these figures.
+        let served = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds in order");
+        Tally { served, refused: 0, failed: 0 }
+    }
+}
+
+/// One call after another on one connection, until the time is up or the connection ends.
+async fn caller(
+    address: SocketAddr,
+    number: usize,
+    until: Instant,
+    tally: &RefCell<Tally>,
+) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let mut read = Vec::with_capacity(1024);
+    let mut asked = 0u64;
+    while Instant::now() < until {
+        asked += 1;
+        let request = request(&format!("{number:04x}-{asked:08x}"));
+        let begun = Instant::now();
+        stream.write_all(request.as_bytes()).await?;
+        let (status, used) = loop {
+            if let Some(whole) = whole(&read) {
+                break whole;
+            }
+            if stream.read_buf(&mut read).await? == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+        };
+        read.drain(..used);
+        let tally = &mut *tally.borrow_mut();
+        match status {
+            200 => tally.served.saturating_record(begun.elapsed().as_micros() as u64),
+            429 | 503 => tally.refused += 1,
+            _ => tally.failed += 1,
+        }
+    }
+    Ok(())
+}
+
+/// A call that is safe to repeat.
+pub fn request(id: &str) -> String {
+    format!(
+        "GET /api/7f3a HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: {id}\r\nRequest-Class: browse\r\n\
+         Request-Timeout-Ms: 1200\r\n\r\n"
+    )
+}
+
+/// The status and the length of an answer, once all of it is there.
+fn whole(read: &[u8]) -> Option<(u16, usize)> {
+    let mut headers = [EMPTY_HEADER; 32];
+    let mut response = Response::new(&mut headers);
+    let Ok(httparse::Status::Complete(head)) = response.parse(read) else { return None };
+    let length = response.headers.iter().find(|h| h.name.eq_ignore_ascii_case("content-length"))?;
+    let body: usize = std::str::from_utf8(length.value).ok()?.trim().parse().ok()?;
+    (read.len() >= head + body).then_some((response.code.unwrap_or(0), head + body))
+}
+
+/// Runs so many callers for a time and gives what came of all their calls.
+pub async fn run(address: SocketAddr, callers: usize, time: Duration) -> Tally {
+    let (tally, until) = (Rc::new(RefCell::new(Tally::default())), Instant::now() + time);
+    let tasks: Vec<_> = (0..callers)
+        .map(|number| {
+            let tally = tally.clone();
+            spawn_local(async move {
+                while Instant::now() < until {
+                    if caller(address, number, until, &tally).await.is_err() {
+                        tally.borrow_mut().failed += 1;
+                        // A listener that is not there must not be asked in a tight loop.
+                        tokio::time::sleep(Duration::from_millis(1)).await;
+                    }
+                }
+            })
+        })
+        .collect();
+    for task in tasks {
+        let _ = task.await;
+    }
+    tally.take()
+}
+
+/// Connections that have made one call each and then say nothing.
+pub async fn idle(address: SocketAddr, count: usize) -> std::io::Result<Vec<TcpStream>> {
+    let mut streams = Vec::with_capacity(count);
+    for number in 0..count {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(request(&format!("idle-{number:x}")).as_bytes()).await?;
+        let mut read = Vec::new();
+        while whole(&read).is_none() {
+            if stream.read_buf(&mut read).await? == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        streams.push(stream);
+    }
+    Ok(streams)
+}
--- /dev/null
+++ b/crates/lab/src/discovery.rs
@@ -0,0 +1,52 @@
+//! The service that lists the servers, as the platform's protocol has it: the whole list at
+//! `GET /discovery/hosts`, and a watch that says an empty line every 2 s. The list here never changes.
+
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+const HEARTBEAT: Duration = Duration::from_secs(2);
+
+/// A whole list in which these servers are ready.
+pub fn list(servers: &[SocketAddr]) -> Value {
+    let endpoints: Vec<Value> = servers
+        .iter()
+        .enumerate()
+        .map(|(n, address)| json!({"name": format!("server-{n}"), "address": address, "status": "ready"}))
+        .collect();
+    json!({"index": 1, "snapshot": true, "endpoints": endpoints})
+}
+
+/// Answers for ever with one list.
+pub async fn serve(listener: TcpListener, list: Value) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let list = list.clone();
+        spawn_local(async move {
+            let _ = connection(stream, list).await;
+        });
+    }
+}
+
+async fn connection(mut stream: TcpStream, list: Value) -> std::io::Result<()> {
+    let mut read = Vec::new();
+    while !read.windows(4).any(|w| w == b"\r\n\r\n") {
+        if read.len() > 4096 || stream.read_buf(&mut read).await? == 0 {
+            return Ok(());
+        }
+    }
+    let line = format!("{list}\n");
+    if !String::from_utf8_lossy(&read).contains("stream=1") {
+        let head = format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", line.len());
+        return stream.write_all((head + &line).as_bytes()).await;
+    }
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(format!("{head}{:x}\r\n{line}\r\n", line.len()).as_bytes()).await?;
+    loop {
+        sleep(HEARTBEAT).await;
+        stream.write_all(b"1\r\n\n\r\n").await?;
+    }
+}
--- /dev/null
+++ b/crates/lab/src/servers.rs
@@ -0,0 +1,71 @@
+//! Servers that answer every request at once.
+
+use httparse::{Request, EMPTY_HEADER};
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+/// The largest head that a stand-in reads.
+const HEAD_MOST: usize = 16 * 1024;
+const HEADERS_MOST: usize = 64;
+
+/// What a server makes of a request: the body of its answer.
+pub type Answers = dyn Fn(&str, &str) -> Vec<u8>;
+
+/// Serves every connection until the listener's task is dropped. `answers` is given method and target.
+pub async fn serve(listener: TcpListener, answers: Rc<Answers>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let answers = answers.clone();
+        spawn_local(async move {
+            // A peer that leaves, or sends what is no request, ends its own connection alone.
+            let _ = connection(stream, &*answers).await;
+        });
+    }
+}
+
+async fn connection(mut stream: TcpStream, answers: &Answers) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut read = Vec::with_capacity(1024);
+    let mut written = Vec::with_capacity(1024);
+    loop {
+        let Some(used) = take(&read, answers, &mut written) else {
+            if read.len() >= HEAD_MOST || stream.read_buf(&mut read).await? == 0 {
+                return Ok(());
+            }
+            continue;
+        };
+        let mut body_left = used.saturating_sub(read.len());
+        read.drain(..used.min(read.len()));
+        while body_left > 0 {
+            let mut rest = [0; 4096];
+            let most = body_left.min(rest.len());
+            match stream.read(&mut rest[..most]).await? {
+                0 => return Ok(()),
+                n => body_left -= n,
+            }
+        }
+        stream.write_all(&written).await?;
+        written.clear();
+    }
+}
+
+/// Reads one whole head and writes its answer; gives how long the request is, `None` if its head is not whole
+/// (or can't be read, which ends when the buffer is full).
+fn take(read: &[u8], answers: &Answers, written: &mut Vec<u8>) -> Option<usize> {
+    let mut headers = [EMPTY_HEADER; HEADERS_MOST];
+    let mut request = Request::new(&mut headers);
+    let head = match request.parse(read) {
+        Ok(httparse::Status::Complete(head)) => head,
+        _ => return None,
+    };
+    let length = |h: &&httparse::Header<'_>| h.name.eq_ignore_ascii_case("content-length");
+    let length = request.headers.iter().find(length).and_then(|h| std::str::from_utf8(h.value).ok());
+    let body = length.and_then(|text| text.parse::<usize>().ok()).unwrap_or(0);
+    let answer = answers(request.method.unwrap_or_default(), request.path.unwrap_or_default());
+    written.extend_from_slice(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ");
+    written.extend_from_slice(answer.len().to_string().as_bytes());
+    written.extend_from_slice(b"\r\n\r\n");
+    written.extend_from_slice(&answer);
+    Some(head + body)
+}
--- /dev/null
+++ b/crates/lab/src/site.rs
@@ -0,0 +1,34 @@
+//! A small deployment of our own: what the platform would tell a proxy, for stand-ins on loopback.
+
+use crate::discovery::list;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+
+/// What a proxy may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Holds {
+    /// Descriptors.
+    pub sockets: usize,
+    /// Memory in MB.
+    pub memory_mb: usize,
+}
+
+/// The proxy's configuration: two classes, one safe to repeat and one with a key; no tenants.
+pub fn config(listen: SocketAddr, discovery: SocketAddr, servers: &[SocketAddr], holds: Holds) -> Value {
+    json!({
+        "name": "n1", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": holds.memory_mb, "sockets": holds.sockets},
+        "known": list(servers),
+        "settings": {
+            "Allowed": {"MaxAttempts": 4, "Cancelling": true, "RetryAfter": true, "MaxRetryAfter": 5000,
+                "IdleClose": 20000, "ConnectTimeout": 300},
+            "Classes": [
+                {"Name": "browse", "Aim": 500, "HardLimit": 1200, "Effect": "repeatable", "Points": 2},
+                {"Name": "purchase", "Aim": 600, "HardLimit": 1500, "Effect": "by_key", "Window": 2500,
+                    "Points": 5},
+            ],
+            "MembershipMode": "automatic",
+            "Rules": {"DrainGrace": 2000, "ColdFrom": 0.33, "Cold": 8400, "FallMultiple": 3, "Fall": 2000},
+        },
+    })
+}
