Keep rested connections in a pool of its own, and let instant answers open the gates

And the gates took the jitter of that rest for a queue, or gave attempts up after a fraction of a millisecond, and refused while servers answered at once.

Which connection is used again, when another is opened and which goes first is decided by core::pool, without I/O: calls use what has rested and is seen to be quiet right before the write, and another is opened only when calls had to wait several times in a short while. In the module, stress under a fiftieth of the aim is no crowding, an attempt has 12 ms at the least, a node that has no answer yet admits twice its first count, and an instant answer proves room for what was out.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod lifecycle;
 pub mod limits;
 pub mod metrics;
+pub mod pool;
 pub mod sockets;
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -53,6 +53,11 @@
         Some(Taken { share: self.clone(), amount })
     }
 
+    /// Whether any of it is left.
+    pub fn has_room(&self) -> bool {
+        self.held.get() < self.most.get()
+    }
+
     /// How much there is in all.
     pub fn most(&self) -> usize {
         self.most.get()
--- /dev/null
+++ b/crates/core/src/pool.rs
@@ -0,0 +1,270 @@
+//! Which connection to a server carries the next attempt: one that is kept, a new one, or one that has to rest a
+//! little first. It does no I/O and takes the time as an argument; what it keeps is the protocol's own.
+//!
+//! A server may send more than belongs to an answer, right behind it. On a connection that is used again at
+//! once, that would be taken for the next answer. So a connection rests after each answer, and is looked at
+//! when the rest is over, right before it is written to. A busy pool keeps enough connections that some have
+//! always rested; it opens those only when calls had to wait for a rest several times in a short while, as a
+//! new connection costs the server work and the call a round trip.
+
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
+use std::hash::Hash;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// What bounds a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoolLimits {
+    /// How long a connection rests after an answer.
+    pub rest: Duration,
+    /// How long a connection is kept that carries nothing. Servers close them too, and a call that crosses such
+    /// a close is lost, so this is well below their time.
+    pub idle_most: Duration,
+    /// The most that are kept for one server while they carry nothing.
+    pub kept_most: usize,
+    /// Waits for a rest within [`PINCH_TIME`] that are borne before another connection is opened.
+    pub pinches_most: u32,
+}
+
+/// The time over which waits for a rest are counted.
+pub const PINCH_TIME: Duration = Duration::from_millis(250);
+
+/// What is to be done for an attempt.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Choice<T> {
+    /// This connection has rested. It must still be looked at: if it is not quiet, ask again.
+    Reuse(T),
+    /// All that there are rest; ask again after this time.
+    Wait(Duration),
+    /// Open another.
+    Open,
+}
+
+struct Idle<T> {
+    kept: T,
+    address: SocketAddr,
+    since: Instant,
+}
+
+struct Server<T> {
+    /// The one used last stands last.
+    idle: VecDeque<Idle<T>>,
+    pinches: u32,
+    pinched_at: Instant,
+}
+
+/// The connections that carry nothing at the moment, by server.
+pub struct Pool<K, T> {
+    limits: PoolLimits,
+    servers: FxHashMap<K, Server<T>>,
+}
+
+impl<K: Copy + Eq + Hash + Ord, T> Pool<K, T> {
+    /// An empty pool.
+    pub fn new(limits: PoolLimits) -> Pool<K, T> {
+        Pool { limits, servers: FxHashMap::default() }
+    }
+
+    /// The limits in force.
+    pub fn limits(&self) -> PoolLimits {
+        self.limits
+    }
+
+    /// Chooses for an attempt at a server, which listens at `address` now. `room` tells whether another
+    /// connection could be opened without closing one; `waited`, whether this attempt has waited already.
+    pub fn choose(
+        &mut self,
+        server: K,
+        address: SocketAddr,
+        now: Instant,
+        room: bool,
+        waited: bool,
+    ) -> Choice<T> {
+        let Some(of) = self.servers.get_mut(&server) else { return Choice::Open };
+        let (rest, idle_most) = (self.limits.rest, self.limits.idle_most);
+        let age = |idle: &Idle<T>| now.saturating_duration_since(idle.since);
+        of.idle.retain(|idle| idle.address == address && age(idle) < idle_most);
+        // Of those that have rested, the one used last: the others can grow old, and be let go of.
+        let rested = of.idle.partition_point(|idle| age(idle) >= rest);
+        if let Some(last) = rested.checked_sub(1) {
+            if let Some(idle) = of.idle.remove(last) {
+                return Choice::Reuse(idle.kept);
+            }
+        }
+        let Some(next) = of.idle.front() else { return Choice::Open };
+        let left = rest.saturating_sub(age(next));
+        if !waited {
+            if now.saturating_duration_since(of.pinched_at) >= PINCH_TIME {
+                of.pinches = 0;
+                of.pinched_at = now;
+            }
+            of.pinches = of.pinches.saturating_add(1);
+        }
+        let grows = of.pinches > self.limits.pinches_most && of.idle.len() < self.limits.kept_most;
+        if grows && room {
+            return Choice::Open;
+        }
+        Choice::Wait(left)
+    }
+
+    /// Keeps a connection whose answer has just ended. Gives what has to be let go of for it, if anything.
+    pub fn keep(&mut self, server: K, address: SocketAddr, kept: T, now: Instant) -> Option<T> {
+        let of = self.servers.entry(server).or_insert_with(|| Server {
+            idle: VecDeque::new(),
+            pinches: 0,
+            pinched_at: now,
+        });
+        // Guards the order against a caller whose clock reading is older than the last.
+        let since = of.idle.back().map_or(now, |last| last.since.max(now));
+        of.idle.push_back(Idle { kept, address, since });
+        let over = of.idle.len() > self.limits.kept_most;
+        over.then(|| of.idle.pop_front()).flatten().map(|idle| idle.kept)
+    }
+
+    /// Lets go of all connections to a server.
+    pub fn forget(&mut self, server: K) {
+        self.servers.remove(&server);
+    }
+
+    /// Lets go of the connections to a server that have carried nothing since then: one that is silent there
+    /// was likely cut off, and its other connections look alive for ever.
+    pub fn forget_before(&mut self, server: K, then: Instant) {
+        if let Some(of) = self.servers.get_mut(&server) {
+            of.idle.retain(|idle| idle.since > then);
+        }
+    }
+
+    /// Lets go of what is too old, or what `is_alive` says is dead.
+    pub fn expire(&mut self, now: Instant, mut is_alive: impl FnMut(&T) -> bool) {
+        let idle_most = self.limits.idle_most;
+        self.servers.retain(|_, of| {
+            of.idle
+                .retain(|idle| now.saturating_duration_since(idle.since) < idle_most && is_alive(&idle.kept));
+            !of.idle.is_empty() || now.saturating_duration_since(of.pinched_at) < PINCH_TIME
+        });
+    }
+
+    /// Takes out the connection that has carried nothing for longest.
+    pub fn shed(&mut self) -> Option<T> {
+        let oldest = self.servers.iter().filter_map(|(server, of)| Some((of.idle.front()?.since, *server)));
+        let (_, server) = oldest.min()?;
+        self.servers.get_mut(&server)?.idle.pop_front().map(|idle| idle.kept)
+    }
+
+    /// How many are kept in all.
+    pub fn len(&self) -> usize {
+        self.servers.values().map(|of| of.idle.len()).sum()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LIMITS: PoolLimits = PoolLimits {
+        rest: Duration::from_millis(2),
+        idle_most: Duration::from_secs(1),
+        kept_most: 3,
+        pinches_most: 2,
+    };
+
+    fn at(port: u16) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+
+    fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    fn pool(kept: &[(u32, u64)]) -> (Pool<u8, u32>, Instant) {
+        let (mut pool, start) = (Pool::new(LIMITS), Instant::now());
+        for (n, after) in kept {
+            assert_eq!(pool.keep(1, at(1), *n, start + ms(*after)), None);
+        }
+        (pool, start)
+    }
+
+    #[test]
+    fn a_connection_rests_before_it_is_used_again_and_the_one_used_last_goes_first() {
+        let (mut pool, start) = pool(&[(10, 0), (11, 1), (12, 3)]);
+        assert_eq!(pool.choose(1, at(1), start + ms(4), true, false), Choice::Reuse(11));
+        assert_eq!(pool.choose(1, at(1), start + ms(4), true, false), Choice::Reuse(10));
+        assert_eq!(pool.choose(1, at(1), start + ms(4), true, false), Choice::Wait(ms(1)));
+        assert_eq!(pool.choose(1, at(1), start + ms(5), true, true), Choice::Reuse(12));
+        assert_eq!(pool.choose(1, at(1), start + ms(5), true, false), Choice::Open);
+    }
+
+    #[test]
+    fn only_repeated_waits_open_another_and_only_where_there_is_room() {
+        let (mut pool, start) = pool(&[(10, 0)]);
+        for _ in 0..2 {
+            assert_eq!(pool.choose(1, at(1), start, true, false), Choice::Wait(ms(2)));
+            // One attempt that asks again is no second sign of want.
+            assert_eq!(pool.choose(1, at(1), start + ms(1), true, true), Choice::Wait(ms(1)));
+        }
+        assert_eq!(pool.choose(1, at(1), start, false, false), Choice::Wait(ms(2)));
+        assert_eq!(pool.choose(1, at(1), start, true, false), Choice::Open);
+        // Old waits are forgotten.
+        let later = start + PINCH_TIME;
+        assert_eq!(pool.keep(1, at(1), 11, later), None);
+        assert_eq!(pool.choose(1, at(1), later, true, false), Choice::Reuse(10));
+        assert_eq!(pool.choose(1, at(1), later, true, false), Choice::Wait(ms(2)));
+    }
+
+    #[test]
+    fn a_server_has_so_many_kept_and_the_oldest_goes() {
+        let (mut pool, start) = pool(&[(10, 0), (11, 0), (12, 0)]);
+        for _ in 0..9 {
+            assert_eq!(pool.choose(1, at(1), start, true, false), Choice::Wait(ms(2)), "no more than three");
+        }
+        assert_eq!(pool.keep(1, at(1), 13, start), Some(10));
+        assert_eq!(pool.len(), 3);
+    }
+
+    #[test]
+    fn what_is_old_dead_elsewhere_or_of_a_silent_server_is_let_go_of() {
+        let (mut dead, start) = pool(&[(10, 0), (11, 0), (12, 500)]);
+        dead.expire(start + ms(600), |n| *n != 11);
+        assert_eq!(dead.len(), 2);
+        dead.expire(start + ms(1_000), |_| true);
+        assert_eq!(dead.len(), 1);
+        dead.forget_before(1, start + ms(500));
+        assert!(dead.is_empty() && dead.shed().is_none());
+        let (mut moved, start) = pool(&[(10, 0)]);
+        assert_eq!(
+            moved.choose(1, at(2), start + ms(9), true, false),
+            Choice::Open,
+            "it listens elsewhere now"
+        );
+        let (mut old, start) = pool(&[(10, 0)]);
+        assert_eq!(
+            old.choose(1, at(1), start + ms(1_000), true, false),
+            Choice::Open,
+            "it may be closed by now"
+        );
+    }
+
+    #[test]
+    fn the_one_that_was_idle_longest_gives_way_whatever_its_server() {
+        let (mut pool, start) = pool(&[(10, 5), (11, 6)]);
+        pool.keep(2, at(2), 20, start);
+        assert_eq!(
+            [pool.shed(), pool.shed(), pool.shed(), pool.shed()],
+            [Some(20), Some(10), Some(11), None]
+        );
+    }
+
+    #[test]
+    fn a_clock_that_goes_back_keeps_the_order() {
+        let (mut pool, start) = pool(&[(10, 5)]);
+        pool.keep(1, at(1), 11, start);
+        assert_eq!(pool.choose(1, at(1), start + ms(6), true, false), Choice::Wait(ms(1)));
+        assert_eq!(pool.choose(1, at(1), start + ms(7), true, true), Choice::Reuse(11));
+    }
+}
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -50,10 +50,11 @@
         self.over = self.over || self.protocol.as_mut().poll(cx).is_ready();
     }
 
-    /// Lets the protocol see the end of the last exchange; true if the connection can carry another.
+    /// Lets the protocol see the end of the last exchange; true if the connection can carry
+    /// another, once it has rested and is seen to be quiet.
     pub fn is_settled(&mut self, cx: &mut Context<'_>) -> bool {
         self.drive(cx);
-        !self.over && self.sender.is_ready() && self.wire.is_quiet()
+        !self.over && self.sender.is_ready()
     }
 
     /// The same at once.
--- a/crates/http1/src/upstream.rs
+++ b/crates/http1/src/upstream.rs
@@ -7,12 +7,12 @@
 use crate::report::Reports;
 use hillstall_core::carrier::{Attempt, Carrier, Ended};
 use hillstall_core::limits::Limits;
+use hillstall_core::pool::{Choice, Pool, PoolLimits};
 use hillstall_core::sockets::out_of_descriptors;
 use hillstall_module::api::{BackendId, Outcome, ReportField};
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{header, Request, StatusCode, Uri};
-use rustc_hash::FxHashMap;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,6 +34,10 @@
 /// How long a connection rests after an answer: what comes right behind one must be seen before the connection
 /// is used again, or it would be taken for the next answer.
 const REST: Duration = Duration::from_millis(2);
+/// Connections that may rest for one backend at a time.
+const KEPT_MOST: usize = 64;
+/// Waits for a rest, in a short while, that are borne before another connection is opened.
+const PINCHES_MOST: u32 = 3;
 /// How often an attempt whose body passes is looked at.
 const LOOK: Duration = Duration::from_millis(20);
 const NOT_STARTED: HeaderName = HeaderName::from_static("not-started");
@@ -42,24 +46,17 @@
 const ALIVE_PATH: &str = "/alive";
 const LOAD_PATH: &str = "/metrics/load";
 
-struct Idle {
-    conn: Conn,
-    address: SocketAddr,
-    since: Instant,
-}
-
 /// Carries calls to backends over HTTP/1.1.
 pub struct Upstream {
-    idle: RefCell<FxHashMap<BackendId, Vec<Idle>>>,
+    pool: RefCell<Pool<BackendId, Conn>>,
     limits: Rc<Limits>,
     connect_timeout: Duration,
-    idle_most: Duration,
     reports: Reports,
 }
 
 impl Upstream {
-    /// A pool that holds its share of connections. Idle ones are dropped at half of the time at which
-    /// backends close them: a request that crosses such a close would be lost.
+    /// A carrier whose connections count against these limits. Those that carry nothing are dropped at half of
+    /// the time at which backends close them: a request that crosses such a close would be lost.
     pub fn new(
         limits: Rc<Limits>,
         connect_ms: f64,
@@ -67,62 +64,47 @@
         fields: Vec<ReportField>,
     ) -> Upstream {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(0.0, 3.6e6) / 1000.0);
+        let idle_most = span(idle_close_ms / 2.0);
+        let bounds = PoolLimits { rest: REST, idle_most, kept_most: KEPT_MOST, pinches_most: PINCHES_MOST };
         Upstream {
-            idle: RefCell::default(),
+            pool: RefCell::new(Pool::new(bounds)),
             limits,
             connect_timeout: span(connect_ms),
-            idle_most: span(idle_close_ms / 2.0),
             reports: Reports::new(fields),
         }
     }
 
     /// Drops what has been idle for long, or was closed at the other end.
     pub fn reap(&self) {
-        let now = Instant::now();
-        self.idle.borrow_mut().retain(|_, list| {
-            list.retain(|i| now.duration_since(i.since) < self.idle_most && i.conn.wire().is_quiet());
-            !list.is_empty()
-        });
+        self.pool.borrow_mut().expire(Instant::now(), |conn| conn.wire().is_quiet());
     }
 
     /// Drops the connection that has been idle longest; false if there is none.
     pub fn shed(&self) -> bool {
-        let mut idle = self.idle.borrow_mut();
-        let oldest = idle.iter().filter_map(|(id, list)| Some((list.first()?.since, *id))).min();
-        let Some(list) = oldest.and_then(|(_, id)| idle.get_mut(&id)) else { return false };
-        list.remove(0);
-        true
-    }
-
-    /// Drops the idle connections to a backend that carried nothing since then.
-    fn close_idle_since(&self, backend: BackendId, then: Instant) {
-        if let Some(list) = self.idle.borrow_mut().get_mut(&backend) {
-            list.retain(|idle| idle.since > then);
-        }
+        self.pool.borrow_mut().shed().is_some()
     }
 
     fn put_back(&self, backend: BackendId, address: SocketAddr, conn: Conn) {
-        let idle = Idle { conn, address, since: Instant::now() };
-        self.idle.borrow_mut().entry(backend).or_default().push(idle);
+        // What gives way for it is dropped here.
+        let _ = self.pool.borrow_mut().keep(backend, address, conn, Instant::now());
     }
 
-    /// The connection to a backend that was used last and has rested, if one is alive.
+    /// A connection to a backend that has rested and is quiet; `None` if one is to be opened.
     async fn take_idle(&self, backend: BackendId, address: SocketAddr) -> Option<Conn> {
+        let mut waited = false;
         loop {
-            let Idle { conn, since, .. } = {
-                let mut idle = self.idle.borrow_mut();
-                let list = idle.get_mut(&backend)?;
-                list.retain(|idle| idle.address == address);
-                let rested = list.iter().rposition(|idle| idle.since.elapsed() >= REST);
-                let at = rested.or_else(|| list.len().checked_sub(1))?;
-                list.remove(at)
-            };
-            // Even a sleep of no length waits for the runtime's next millisecond.
-            if let Some(rest) = REST.checked_sub(since.elapsed()).filter(|rest| !rest.is_zero()) {
-                sleep(rest).await;
-            }
-            if since.elapsed() < self.idle_most && conn.wire().is_quiet() {
-                return Some(conn);
+            let room = self.limits.upstream.has_room();
+            let choice = self.pool.borrow_mut().choose(backend, address, Instant::now(), room, waited);
+            match choice {
+                // Asked of the socket itself, at the last moment before the write.
+                Choice::Reuse(conn) if conn.wire().is_quiet() => return Some(conn),
+                // It was closed, or more came behind its answer than belongs to it.
+                Choice::Reuse(_) => {}
+                Choice::Wait(rest) => {
+                    waited = true;
+                    sleep(rest).await;
+                }
+                Choice::Open => return None,
             }
         }
     }
@@ -178,10 +160,11 @@
                 Payload::Held(_) => until.saturating_duration_since(Instant::now()),
                 Payload::Passing(upload) => upload.timeout().min(most),
             };
-            let left = left.as_millis() as u64;
-            if left == 0 {
+            if left.is_zero() {
                 return Ended::now(Outcome::Moot);
             }
+            // Whole milliseconds are all that the header can tell; less than one is still time to be served.
+            let left = (left.as_millis() as u64).max(1);
             conn.wire().begin_request(inbound.length(), sends.clone());
             let exchange = conn.exchange(forward(inbound, left), &self.limits);
             let result = tokio::select! {
@@ -224,7 +207,7 @@
             // one fails soon, and with nothing sent. What has carried an answer meanwhile is alive; and any
             // other end speaks of its own connection alone.
             if result.is_err() {
-                self.close_idle_since(backend, sent);
+                self.pool.borrow_mut().forget_before(backend, sent);
             }
             return Ended::now(match (conn.wire().request_whole(), result) {
                 // A backend begins a request with its last byte: this one never began.
@@ -274,7 +257,7 @@
     }
 
     fn close_idle(&self, backend: BackendId) {
-        self.idle.borrow_mut().remove(&backend);
+        self.pool.borrow_mut().forget(backend);
     }
 }
 
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -18,6 +18,9 @@
 const START_EACH: f64 = 8.0;
 const START_SPARSE: f64 = 5.0;
 const START_LEAST: f64 = 4.0;
+/// Times its first count that a node admits before the first answer: nothing is known against more yet, and callers
+/// that all come at once must not be refused by servers that have not been asked.
+const BLIND: f64 = 2.0;
 /// Borrowed calls in flight a fresh copy admits: room beyond the shares must first be seen, or all fresh
 /// copies together flood a fleet that is just big enough for the shares, before the first answer tells them.
 const START_BORROW: f64 = 1.0;
@@ -54,6 +57,9 @@
 /// Times the tier's usual stress above which its top gate is cut, where that is below the limit by the aim: a
 /// queue twice as long as usual serves no more, and servers that are held crowded slow down for good.
 const CROWDED: f64 = 1.5;
+/// Stress below which nothing counts as crowded: where answers take so small a part of the time wanted, a queue of
+/// that length harms nobody, and what looks like one may be the grain of a clock.
+const CROWDED_FROM: f64 = 0.02;
 /// Part of the first count below which crowding alone does not cut: chance must not shut a calm gate.
 const CROWDED_LEAST: f64 = 0.5;
 /// Samples over which the usual stress is averaged.
@@ -81,6 +87,8 @@
 /// Mean deviations over the mean latency after which one attempt is given up for another: giving up early
 /// repeats work that mostly goes on.
 const PATIENCE: f64 = 12.0;
+/// The least time for an attempt that may be given up for another: a hiccup of a machine is no hang.
+const PATIENCE_LEAST: Millis = 12.0;
 /// A call out this many mean latencies, with no answer since from its backend, is an early sign of a hang.
 const OVERDUE: f64 = 3.0;
 /// The fewest healthy backends a copy draws from, where the tier has more ...
@@ -158,7 +166,8 @@
 
     /// The check of FlowSlot; a part of a call in the count admits one more by that chance.
     fn admits(&self, chance: f64) -> bool {
-        self.in_flight + 1.0 <= self.count + chance
+        let blind = if self.at == f64::MIN { BLIND } else { 1.0 };
+        self.in_flight + 1.0 <= self.count * blind + chance
     }
 
     /// Learns from one finished call, itself still counted as in flight; true if the count was cut.
@@ -186,6 +195,10 @@
             let fresh = if self.cut_at == f64::MIN { (self.first / FRESH).clamp(2.0, 10.0) } else { 1.0 };
             let step = fresh * RISE.max(1.0 / self.count.max(1.0));
             self.count += step * call.spare * (1.0 - self.stress / most);
+            // An answer that took next to nothing of its time proves room for all that was out with it.
+            if self.cut_at == f64::MIN && call.stress <= CROWDED_FROM && call.spare >= 1.0 {
+                self.count = self.count.max(self.used + 1.0);
+            }
         }
         false
     }
@@ -211,7 +224,7 @@
             return f64::MAX;
         }
         self.least = if self.least == 0.0 { self.mean } else { self.least.min(self.mean) };
-        self.least * CROWDED
+        (self.least * CROWDED).max(CROWDED_FROM)
     }
 }
 
@@ -644,7 +657,7 @@
     /// How long to wait for one attempt: all the time left, or less where another try is of use.
     fn attempt_timeout(&self, held: &Held, left: Millis) -> Millis {
         let latency = &self.latencies[held.class];
-        let usual = latency.mean + PATIENCE * latency.dev;
+        let usual = (latency.mean + PATIENCE * latency.dev).max(PATIENCE_LEAST);
         let once = self.settings.classes[held.class].effect == Effect::Once;
         if once || latency.mean == 0.0 || held.attempts > 0 || left < usual + 2.0 * latency.mean {
             left
