Park connections that idle, and read without asking twice

An idle caller's connection held 13.9 KiB: hyper's buffers and a task with room for a whole call. Now the protocol's part is let go of 50 ms after an answer, once the connection stands between two messages, and made anew when something comes; so a connection that says nothing never has one. The future of an attempt no longer holds room for opening a connection.

--- a/crates/http1/src/framing.rs
+++ b/crates/http1/src/framing.rs
@@ -40,6 +40,11 @@
         self.ambiguous || self.state == State::Lost
     }
 
+    /// Whether all that was read belongs to whole messages.
+    pub fn is_between(&self) -> bool {
+        self.state == State::Head && !self.begun && self.line.is_empty()
+    }
+
     /// Takes in what was read.
     pub fn add(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() && self.state != State::Lost {
--- a/crates/http1/src/front/caller.rs
+++ b/crates/http1/src/front/caller.rs
@@ -5,9 +5,13 @@
 use hillstall_core::limits::{self, Taken, REQUEST_TIME};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// How long a connection has said nothing when what the protocol holds for it is let go: some KiB each, which
+/// thousands of callers that keep their connections would add up to much.
+const PARK: Duration = Duration::from_millis(50);
+
 /// How far the end of a caller's connection has come.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Closing {
@@ -31,6 +35,8 @@
     /// Its body that passes.
     pub(super) upload: RefCell<Option<Rc<Upload>>>,
     pub(super) closing: Cell<Closing>,
+    /// Nothing of the protocol is held for it at the moment.
+    pub(super) parked: Cell<bool>,
     pub(super) close: Notify,
     pub(super) _counted: Taken,
 }
@@ -55,6 +61,13 @@
         awaited && from.is_some_and(late)
     }
 
+    /// Whether nothing needs to be remembered of it but its socket: it stands between two messages, and its last
+    /// answer is out.
+    pub(super) fn may_park(&self) -> bool {
+        let between = !self.taken.get() && self.wire.begun().is_none() && self.wire.is_between();
+        between && !self.wire.is_stuck() && self.used.get().elapsed() >= PARK && self.wire.is_quiet()
+    }
+
     /// The present request is done with.
     pub(super) fn rests(&self) {
         self.taken.set(false);
--- a/crates/http1/src/front/mod.rs
+++ b/crates/http1/src/front/mod.rs
@@ -208,6 +208,9 @@
             for caller in self.callers.borrow().values().filter(|c| !c.wire.is_stuck()) {
                 caller.last.take();
             }
+            for caller in self.callers.borrow().values().filter(|c| !c.parked.get() && c.may_park()) {
+                caller.close.notify_one();
+            }
             self.upstream.reap();
         }
     }
@@ -236,45 +239,85 @@
     }
 
     async fn connection(self: Rc<Self>, stream: TcpStream, counted: Taken) {
-        let wire = Wire::for_caller(stream);
         let caller = Rc::new(Caller {
-            wire: wire.clone(),
+            wire: Wire::for_caller(stream),
             taken: Cell::new(false),
             proven: Cell::new(false),
             used: Cell::new(Instant::now()),
             last: RefCell::default(),
             upload: RefCell::default(),
             closing: Cell::new(Closing::No),
+            parked: Cell::new(true),
             close: Notify::new(),
             _counted: counted,
         });
         let number = self.next.replace(self.next.get() + 1);
         self.callers.borrow_mut().insert(number, caller.clone());
-        let service = service_fn(|request| {
-            let (server, caller) = (self.clone(), caller.clone());
-            async move { Ok::<_, Infallible>(server.serve(&caller, request).await) }
-        });
-        let serving = http1::Builder::new().max_buf_size(READ_AHEAD).serve_connection(Io(wire), service);
+        while awake(&caller).await {
+            caller.parked.set(false);
+            // On the heap, so that a connection that only waits does not hold room for it.
+            if Box::pin(self.talk(&caller)).await == After::Over {
+                break;
+            }
+            caller.parked.set(true);
+        }
+        self.callers.borrow_mut().remove(&number);
+    }
+
+    /// Speaks HTTP on a connection until it is over, or rests and can be parked.
+    async fn talk(self: &Rc<Self>, caller: &Rc<Caller>) -> After {
+        let service =
+            service_fn(|request| async move { Ok::<_, Infallible>(self.serve(caller, request).await) });
+        let io = Io(caller.wire.clone());
+        let serving = http1::Builder::new().max_buf_size(READ_AHEAD).serve_connection(io, service);
         tokio::pin!(serving);
         loop {
             tokio::select! {
                 biased;
                 // An error here is the caller's leaving or nonsense instead of HTTP; both end with the
                 // connection, and a request that was open with its guard.
-                _ = &mut serving => break,
+                _ = &mut serving => return After::Over,
                 () = caller.close.notified() => match caller.closing.get() {
-                    Closing::Now if !caller.taken.get() => break,
+                    Closing::No if caller.may_park() => return After::Parks,
+                    Closing::No => {}
+                    Closing::Now if !caller.taken.get() => return After::Over,
                     _ => serving.as_mut().graceful_shutdown(),
                 },
                 // Guards against a head that never ends, which a graceful end would await for ever. One that
                 // did end meanwhile is a request taken: it is served.
                 () = sleep(CLOSE_GRACE), if caller.closing.get() != Closing::No => {
                     if !caller.taken.get() && !caller.wire.is_stuck() {
-                        break;
+                        return After::Over;
                     }
                 }
             }
         }
-        self.callers.borrow_mut().remove(&number);
+    }
+}
+
+/// What follows on a connection.
+#[derive(PartialEq)]
+enum After {
+    Over,
+    Parks,
+}
+
+/// Waits until there is something to read on a parked connection; false if it is to end instead.
+async fn awake(caller: &Caller) -> bool {
+    loop {
+        tokio::select! {
+            biased;
+            () = caller.wire.readable() => return true,
+            () = caller.close.notified() => match caller.closing.get() {
+                Closing::No => {}
+                Closing::Now => return false,
+                Closing::InOrder if caller.wire.is_quiet() => return false,
+                Closing::InOrder => {
+                    // A request has just come: it is served, and then the connection ends.
+                    caller.close.notify_one();
+                    return true;
+                }
+            },
+        }
     }
 }
--- a/crates/http1/src/io.rs
+++ b/crates/http1/src/io.rs
@@ -7,6 +7,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io::{ErrorKind, Result};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -14,6 +15,7 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -80,7 +82,7 @@
 
 /// A TCP stream with what is known of its traffic.
 pub struct Wire {
-    stream: TcpStream,
+    stream: RefCell<TcpStream>,
     last_read: Cell<Instant>,
     begun: Cell<Option<Instant>>,
     had_message: Cell<bool>,
@@ -110,7 +112,7 @@
         let _ = socket.set_send_buffer_size(SYSTEM_BUFFER).and(socket.set_recv_buffer_size(SYSTEM_BUFFER));
         let now = Instant::now();
         Rc::new(Wire {
-            stream,
+            stream: RefCell::new(stream),
             last_read: Cell::new(now),
             begun: Cell::new(None),
             had_message: Cell::new(false),
@@ -122,6 +124,17 @@
         })
     }
 
+    /// Waits until there is something to read, or the peer has closed.
+    pub async fn readable(&self) {
+        // An error is told by the next read as well.
+        let _ = poll_fn(|cx| self.stream.borrow().poll_read_ready(cx)).await;
+    }
+
+    /// Whether the peer stands between two messages: nothing of the next one was read.
+    pub fn is_between(&self) -> bool {
+        self.framing.as_ref().is_none_or(|framing| framing.borrow().is_between())
+    }
+
     /// When the last bytes were read.
     pub fn last_read(&self) -> Instant {
         self.last_read.get()
@@ -204,7 +217,7 @@
     /// socket itself: the runtime's own view may be one turn old.
     pub fn is_quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        matches!(SockRef::from(&self.stream).peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        matches!(SockRef::from(&*self.stream.borrow()).peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 }
 
@@ -214,28 +227,27 @@
 
 impl Read for Io {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, mut buf: ReadBufCursor<'_>) -> Poll<Result<()>> {
-        let mut chunk = [0; CHUNK];
+        let mut chunk = [MaybeUninit::uninit(); CHUNK];
         let room = buf.remaining().min(CHUNK);
-        loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(&mut chunk[..room]) {
-                Ok(n) => {
-                    self.0.has_read(&chunk[..n]);
-                    buf.put_slice(&chunk[..n]);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        let mut read = ReadBuf::uninit(&mut chunk[..room]);
+        // A read that does not fill the buffer tells the runtime that there is no more, which saves the call that
+        // would only say so.
+        ready!(Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, &mut read))?;
+        self.0.has_read(read.filled());
+        buf.put_slice(read.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
 impl Write for Io {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
         loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match self.0.stream.try_write(buf) {
+            let written = {
+                let stream = self.0.stream.borrow();
+                ready!(stream.poll_write_ready(cx))?;
+                stream.try_write(buf)
+            };
+            match written {
                 Ok(n) => {
                     self.0.written.borrow_mut().add(&buf[..n]);
                     self.0.stuck.set(n < buf.len());
@@ -257,7 +269,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.0.stream.borrow()).shutdown(Shutdown::Write))
     }
 }
 
--- a/crates/http1/src/upstream.rs
+++ b/crates/http1/src/upstream.rs
@@ -130,9 +130,39 @@
         Conn::open(stream, counted).await.map_err(|_| Outcome::ConnectFailed)
     }
 
+    /// Checks a backend once, on a connection of its own.
+    async fn check(&self, address: SocketAddr, path: &'static str) -> Ended<Upstream> {
+        let until = Instant::now() + self.connect_timeout * 2;
+        let mut conn = match self.connect(address, until).await {
+            Ok(conn) => conn,
+            Err(outcome) => return Ended::now(outcome),
+        };
+        let request = Request::get(path).header(header::HOST, address.to_string());
+        let request =
+            request.body(Outgoing::Whole(Full::default())).expect("a fixed path and an address are valid");
+        match timeout_at(until.into(), conn.exchange(request, &self.limits)).await {
+            Err(_) => Ended::now(Outcome::Timeout),
+            Ok(Err(())) => Ended::now(Outcome::Reset),
+            Ok(Ok(Exchanged { status, headers, body })) => {
+                let outcome = if status == StatusCode::OK { Outcome::Ok } else { Outcome::Error };
+                let mut report = self.reports.of(&headers);
+                if let (Some(Gathered::Whole(body)), 0) = (body, report.len) {
+                    report = self.reports.parse(std::str::from_utf8(&body.bytes).unwrap_or_default());
+                }
+                Ended { outcome, at: conn.wire().last_read(), report, answer: None, rejected: None }
+            }
+        }
+    }
+}
+
+impl Carrier for Upstream {
+    type Call = Inbound;
+    type Answer = Answer;
+    type Rejection = StatusCode;
+
     /// One attempt of a request, which ends at its deadline or after its `most`. When this returns, the
     /// request is no longer out on any open connection.
-    async fn carry(self: &Rc<Self>, attempt: Attempt<Upstream>) -> Ended<Upstream> {
+    async fn attempt(self: Rc<Self>, attempt: Attempt<Upstream>) -> Ended<Upstream> {
         let Attempt { call, backend, address, deadline, most, sends, permit } = attempt;
         let inbound = &*call;
         let sent = Instant::now();
@@ -146,7 +176,8 @@
             let pooled = idle.is_some();
             let conn = match idle.take() {
                 Some(conn) => Ok(conn),
-                None => self.connect(address, until).await,
+                // On the heap: it is rare, and every attempt would carry room for it.
+                None => Box::pin(self.connect(address, until)).await,
             };
             let mut conn = match conn {
                 Ok(conn) => conn,
@@ -218,40 +249,6 @@
         }
     }
 
-    /// Checks a backend once, on a connection of its own.
-    async fn check(&self, address: SocketAddr, path: &'static str) -> Ended<Upstream> {
-        let until = Instant::now() + self.connect_timeout * 2;
-        let mut conn = match self.connect(address, until).await {
-            Ok(conn) => conn,
-            Err(outcome) => return Ended::now(outcome),
-        };
-        let request = Request::get(path).header(header::HOST, address.to_string());
-        let request =
-            request.body(Outgoing::Whole(Full::default())).expect("a fixed path and an address are valid");
-        match timeout_at(until.into(), conn.exchange(request, &self.limits)).await {
-            Err(_) => Ended::now(Outcome::Timeout),
-            Ok(Err(())) => Ended::now(Outcome::Reset),
-            Ok(Ok(Exchanged { status, headers, body })) => {
-                let outcome = if status == StatusCode::OK { Outcome::Ok } else { Outcome::Error };
-                let mut report = self.reports.of(&headers);
-                if let (Some(Gathered::Whole(body)), 0) = (body, report.len) {
-                    report = self.reports.parse(std::str::from_utf8(&body.bytes).unwrap_or_default());
-                }
-                Ended { outcome, at: conn.wire().last_read(), report, answer: None, rejected: None }
-            }
-        }
-    }
-}
-
-impl Carrier for Upstream {
-    type Call = Inbound;
-    type Answer = Answer;
-    type Rejection = StatusCode;
-
-    async fn attempt(self: Rc<Self>, attempt: Attempt<Upstream>) -> Ended<Upstream> {
-        self.carry(attempt).await
-    }
-
     async fn probe(self: Rc<Self>, address: SocketAddr, report: bool) -> Ended<Upstream> {
         self.check(address, if report { LOAD_PATH } else { ALIVE_PATH }).await
     }
