Enter a connection among the callers before the next is accepted

A burst of connections filled the callers' share before any of them was known, so the one usual caller was asked to give way: one flood in ten closed it (the test of the flood failed so). A connection is entered when it is accepted now, and one whose words wait to be read no longer counts as silent.

--- a/crates/http1/src/front/mod.rs
+++ b/crates/http1/src/front/mod.rs
@@ -31,6 +31,8 @@
 /// How long a connection must have been idle to be closed by a drain or a stop: one that has just come may be
 /// about to ask.
 const REST: Duration = Duration::from_millis(250);
+/// How many connections are looked at for the one that has said least.
+const SHED_LOOKS: usize = 8;
 /// How many others may be asked to give way to one connection.
 const ADMIT_TRIES: u32 = 4;
 /// How long a connection that is to close may take over what it has begun.
@@ -134,7 +136,8 @@
     async fn admit(self: &Rc<Self>, stream: TcpStream) {
         for _ in 0..ADMIT_TRIES {
             if let Some(counted) = self.limits.callers.take(1) {
-                spawn_local(self.clone().connection(stream, counted));
+                let (number, caller) = self.enter(stream, counted);
+                spawn_local(self.clone().connection(number, caller));
                 return;
             }
             // The one that gives way is closed in its own task, unless a request of its came meanwhile.
@@ -164,12 +167,19 @@
     /// been idle longest; false if all are busy.
     fn shed(&self) -> bool {
         let callers = self.callers.borrow();
-        let unproven =
-            callers.values().filter(|c| !c.proven.get() && !c.taken.get() && c.closing.get() != Closing::Now);
         // Those that have said nothing go before those that are in the midst of a request, and of these the ones
         // that have paused longest.
         let use_of = |c: &&Rc<Caller>| (c.wire.begun().is_some(), c.wire.last_read());
-        if let Some(oldest) = unproven.min_by_key(use_of) {
+        for tries_left in (0..SHED_LOOKS).rev() {
+            let unproven = callers
+                .values()
+                .filter(|c| !c.proven.get() && !c.taken.get() && c.closing.get() != Closing::Now);
+            let Some(oldest) = unproven.min_by_key(use_of) else { break };
+            // What it has said may only be waiting to be read.
+            if tries_left > 0 && oldest.wire.begun().is_none() && oldest.wire.has_unread() {
+                oldest.wire.begins();
+                continue;
+            }
             oldest.close(Closing::Now);
             return true;
         }
@@ -238,7 +248,9 @@
         sleep(Duration::from_millis(20)).await;
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, counted: Taken) {
+    /// Enters a connection among the callers. That is done before anything else is accepted: a burst of
+    /// connections that nobody knows of yet would be taken for callers that can't give way.
+    fn enter(&self, stream: TcpStream, counted: Taken) -> (u64, Rc<Caller>) {
         let caller = Rc::new(Caller {
             wire: Wire::for_caller(stream),
             taken: Cell::new(false),
@@ -247,19 +259,24 @@
             last: RefCell::default(),
             upload: RefCell::default(),
             closing: Cell::new(Closing::No),
-            parked: Cell::new(true),
+            parked: Cell::new(false),
             close: Notify::new(),
             _counted: counted,
         });
         let number = self.next.replace(self.next.get() + 1);
         self.callers.borrow_mut().insert(number, caller.clone());
-        while awake(&caller).await {
-            caller.parked.set(false);
-            // On the heap, so that a connection that only waits does not hold room for it.
-            if Box::pin(self.talk(&caller)).await == After::Over {
+        (number, caller)
+    }
+
+    async fn connection(self: Rc<Self>, number: u64, caller: Rc<Caller>) {
+        // On the heap, so that a connection that only waits does not hold room for it. What a new one has said is
+        // read at once: until then it looks like one that says nothing, and would be the first to give way.
+        while Box::pin(self.talk(&caller)).await == After::Parks {
+            caller.parked.set(true);
+            if !awake(&caller).await {
                 break;
             }
-            caller.parked.set(true);
+            caller.parked.set(false);
         }
         self.callers.borrow_mut().remove(&number);
     }
--- a/crates/http1/src/io.rs
+++ b/crates/http1/src/io.rs
@@ -213,6 +213,19 @@
         self.written.borrow().is_whole()
     }
 
+    /// Whether the peer has sent something that is still unread.
+    pub fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        matches!(SockRef::from(&*self.stream.borrow()).peek(&mut byte), Ok(1..))
+    }
+
+    /// A message of the peer's was seen to begin, though nothing of it was read yet.
+    pub fn begins(&self) {
+        let now = Instant::now();
+        self.last_read.set(now);
+        self.begun.set(self.begun.get().or(Some(now)));
+    }
+
     /// Whether the peer holds the connection open and has sent nothing that is still unread. Asks the
     /// socket itself: the runtime's own view may be one turn old.
     pub fn is_quiet(&self) -> bool {
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -18,8 +18,8 @@
 const START_EACH: f64 = 8.0;
 const START_SPARSE: f64 = 5.0;
 const START_LEAST: f64 = 4.0;
-/// Times its first count that a node admits before the first answer: nothing is known against more yet, and callers
-/// that all come at once must not be refused by servers that have not been asked.
+/// Times its first count that a node admits before the first answer: nothing is known against more yet, and
+/// callers that all come at once must not be refused by servers that have not been asked.
 const BLIND: f64 = 2.0;
 /// Borrowed calls in flight a fresh copy admits: room beyond the shares must first be seen, or all fresh
 /// copies together flood a fleet that is just big enough for the shares, before the first answer tells them.
@@ -57,8 +57,8 @@
 /// Times the tier's usual stress above which its top gate is cut, where that is below the limit by the aim: a
 /// queue twice as long as usual serves no more, and servers that are held crowded slow down for good.
 const CROWDED: f64 = 1.5;
-/// Stress below which nothing counts as crowded: where answers take so small a part of the time wanted, a queue of
-/// that length harms nobody, and what looks like one may be the grain of a clock.
+/// Stress below which nothing counts as crowded: where answers take so small a part of the time wanted, a
+/// queue of that length harms nobody, and what looks like one may be the grain of a clock.
 const CROWDED_FROM: f64 = 0.02;
 /// Part of the first count below which crowding alone does not cut: chance must not shut a calm gate.
 const CROWDED_LEAST: f64 = 0.5;
