Add a command line, an operator file, checks, and a record of each call on demand

There was no command line, no way to tune times and sizes, and the log could not be read by programs. The operator file has 20 keys with units and bounds; a flag goes before the environment, that before the file. SIGHUP takes it whole or not at all. The log is text or JSON lines through a bounded queue; log.calls writes one record a call with class, server, attempts, the reason of its end and the time of each phase.

A reader of the log that stopped held up the end of the process (found by the test of it): nothing is written to standard error directly at the end any more.

--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -33,6 +33,38 @@
     Rejected(C::Rejection),
 }
 
+/// How a call went, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct Course {
+    /// Attempts made.
+    pub attempts: u32,
+    /// The server of the last one.
+    pub server: Option<SocketAddr>,
+    /// When the call was taken.
+    pub taken: Instant,
+    /// When its first attempt was sent.
+    pub first_sent: Option<Instant>,
+    /// When its last attempt was sent.
+    pub last_sent: Option<Instant>,
+    /// How the last attempt that ended did.
+    pub last_outcome: Option<Outcome>,
+}
+
+impl Course {
+    fn new() -> Course {
+        let (server, first_sent, last_sent, last_outcome) = (None, None, None, None);
+        Course { attempts: 0, server, taken: Instant::now(), first_sent, last_sent, last_outcome }
+    }
+}
+
+/// The end of a call.
+pub struct End<C: Carrier> {
+    /// The final answer.
+    pub answer: Final<C>,
+    /// How it came about.
+    pub course: Course,
+}
+
 /// What a request is, in the module's terms.
 pub struct Asked {
     /// Its class.
@@ -68,6 +100,16 @@
     }
 }
 
+impl<C: Carrier> Open<C> {
+    /// Gives the final answer, unless there was one.
+    fn answer(&mut self, answer: Final<C>) {
+        if let Some(sender) = self.answer.take() {
+            // Fails only where the caller has just left.
+            let _ = sender.send(End { answer, course: self.course });
+        }
+    }
+}
+
 struct Out {
     attempt: u8,
     backend: BackendId,
@@ -79,8 +121,8 @@
     call: Rc<C::Call>,
     deadline: Instant,
     /// Taken by the final answer; empty from then on, and once the caller has left.
-    answer: Option<oneshot::Sender<Final<C>>>,
-    attempts: u32,
+    answer: Option<oneshot::Sender<End<C>>>,
+    course: Course,
     out: Option<Out>,
 }
 
@@ -228,7 +270,7 @@
             call: Rc::new(call),
             deadline: asked.deadline,
             answer: Some(answer),
-            attempts: 0,
+            course: Course::new(),
             out: None,
         };
         state.open.insert(id, open);
@@ -251,8 +293,10 @@
     fn close(&self, id: RequestId) {
         let state = &mut *self.state.borrow_mut();
         let Some(open) = state.open.get_mut(&id) else { return };
-        let Some(answer) = open.answer.take() else { return };
-        let _ = answer.send(Final::Failed);
+        if open.answer.is_none() {
+            return;
+        }
+        open.answer(Final::Failed);
         self.handle(state, Happening::Event(Event::ClientGone { request: id }));
         Self::forget(state, id);
     }
@@ -272,10 +316,9 @@
             (None, Some(why)) => Some(Final::Rejected(why)),
             (None, None) => None,
         };
+        open.course.last_outcome = Some(ended.outcome);
         if let Some(last) = last {
-            if let Some(sender) = open.answer.take() {
-                let _ = sender.send(last);
-            }
+            open.answer(last);
         }
         // A backend begins a request with its last byte, which a slow caller may send much later.
         let begun = open.call.whole_at().map_or(sent, |whole| whole.max(sent));
@@ -349,8 +392,8 @@
     }
 
     fn finish(state: &mut State<C>, request: RequestId, with: Final<C>) {
-        if let Some(answer) = state.open.get_mut(&request).and_then(|open| open.answer.take()) {
-            let _ = answer.send(with);
+        if let Some(open) = state.open.get_mut(&request) {
+            open.answer(with);
         }
         Self::forget(state, request);
     }
@@ -368,13 +411,13 @@
         // Guards the rules whatever the module says: nothing for a request that is over, no second copy, no
         // attempt past the most, no body that is spent.
         let fit = open.filter(|o| {
-            let again = o.attempts < self.max_attempts && !o.call.is_spent();
+            let again = o.course.attempts < self.max_attempts && !o.call.is_spent();
             o.answer.is_some() && o.out.is_none() && again
         });
         let (Some(open), Some(place)) = (fit, place) else {
             let event = Event::Outcome {
                 request,
-                attempt: state.open.get(&request).map_or(0, |open| open.attempts as u8),
+                attempt: state.open.get(&request).map_or(0, |open| open.course.attempts as u8),
                 backend,
                 outcome: Outcome::Moot,
                 took_ms: 0.0,
@@ -385,9 +428,12 @@
             return;
         };
         let (cancel, cancelled) = oneshot::channel();
-        open.out = Some(Out { attempt: open.attempts as u8, backend, cancel: Some(cancel) });
-        open.attempts += 1;
+        open.out = Some(Out { attempt: open.course.attempts as u8, backend, cancel: Some(cancel) });
         let sent = Instant::now();
+        open.course.attempts += 1;
+        open.course.server = Some(place.address);
+        open.course.first_sent = open.course.first_sent.or(Some(sent));
+        open.course.last_sent = Some(sent);
         let deadline = open.deadline;
         let most = if timeout_ms == 0.0 { span(SPAN_MOST) } else { span(timeout_ms) };
         let call = open.call.clone();
@@ -486,7 +532,7 @@
 }
 
 /// A call that was taken: its guard, and where its final answer comes.
-pub type Taken<C> = (Guard<C>, oneshot::Receiver<Final<C>>);
+pub type Taken<C> = (Guard<C>, oneshot::Receiver<End<C>>);
 
 /// Stands for a caller that waits.
 pub struct Guard<C: Carrier> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod metrics;
 pub mod pool;
 pub mod sockets;
+pub mod tuning;
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -1,14 +1,11 @@
 //! Whether this process takes clients: one state that `/up`, the second address, keep-alive, the closing of
 //! idle connections and SIGTERM all go by.
 
+use crate::tuning::Tuning;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a drain leaves kept connections alone: the front asks every 0.1 s and sends new connections for
-/// 0.2 s more, and callers turned away before that would come straight back.
-const DRAIN_NOTICE: Duration = Duration::from_millis(400);
-
 /// The states of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -28,6 +25,7 @@
     since: Cell<Instant>,
     /// How long a stop leaves kept connections alone.
     stop_notice: Cell<Duration>,
+    drain_notice: Cell<Duration>,
 }
 
 impl Lifecycle {
@@ -37,9 +35,15 @@
             phase: Cell::new(Phase::Starting),
             since: Cell::new(Instant::now()),
             stop_notice: Cell::default(),
+            drain_notice: Cell::new(Tuning::default().drain_notice),
         })
     }
 
+    /// Sets how long a drain leaves kept connections alone.
+    pub fn notify_for(&self, drain_notice: Duration) {
+        self.drain_notice.set(drain_notice);
+    }
+
     /// The present state.
     pub fn phase(&self) -> Phase {
         self.phase.get()
@@ -86,7 +90,7 @@
     pub fn closes_idle(&self) -> bool {
         let notice = match self.phase() {
             Phase::Starting | Phase::Serving => return false,
-            Phase::Draining => DRAIN_NOTICE,
+            Phase::Draining => self.drain_notice.get(),
             Phase::Stopping => self.stop_notice.get(),
         };
         self.since.get().elapsed() >= notice
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -1,10 +1,10 @@
 //! What the process may hold at once: descriptors, in a fixed share for either side, and the bytes of bodies.
 //! Both sides ask here, so that what one takes is not missing at the other.
 
+use crate::tuning::Tuning;
 use bytes::Bytes;
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// Descriptors kept for the listeners, discovery, the runtime, the standard streams and the second address.
 const RESERVED_SOCKETS: usize = 32;
@@ -13,28 +13,6 @@
 /// Part of the memory that bodies and answers may take. On its way each byte is held up to three times: as it
 /// was read, as it is passed on, and in the buffer that is written.
 const BODY_PART: usize = 4;
-/// The largest body that is held, on either side, and so can be sent again; a longer one passes.
-pub const BODY_MOST: usize = 64 * 1024;
-/// The most that is read ahead on one connection, so also the largest head. A head needs a few KiB.
-pub const READ_AHEAD: usize = 16 * 1024;
-/// The longest message on either side.
-pub const MESSAGE_MOST: usize = 32 << 20;
-/// Longest wait for a caller's whole request, from connecting, or on a used connection from its first byte; a
-/// longer body has as long for each so many bytes.
-pub const REQUEST_TIME: Duration = Duration::from_millis(2_500);
-/// See [`REQUEST_TIME`].
-pub const REQUEST_STEP: usize = 16 * 1024;
-/// Longest wait for a peer to take, or to give, the next bytes of a message that passes.
-pub const STALL: Duration = Duration::from_secs(5);
-/// What the system may hold of a message for a peer that is slow: more would only hide its pace.
-pub const SYSTEM_BUFFER: usize = 128 * 1024;
-/// A caller's connection that has carried nothing for this long is closed.
-pub const CALLER_IDLE: Duration = Duration::from_secs(5);
-/// Longest wait for the next bytes of an answer that is held.
-pub const ANSWER_TIME: Duration = Duration::from_millis(1_000);
-/// How long an answer that does not tell its length may come before it begins to pass.
-pub const ANSWER_HOLD: Duration = Duration::from_millis(100);
-
 /// So much of something as may be held at once.
 pub struct Share {
     most: Cell<usize>,
@@ -114,17 +92,35 @@
     pub upstream: Rc<Share>,
     /// Bytes of bodies, from callers and from backends.
     pub bytes: Rc<Share>,
+    tuning: Cell<Tuning>,
 }
 
 impl Limits {
     /// Shares out what the platform gives. Each open request holds a caller's connection and an upstream one.
     pub fn new(sockets: usize, memory_mb: usize) -> Rc<Limits> {
         let share = || Share::new(0);
-        let limits = Limits { sockets, memory_mb, callers: share(), upstream: share(), bytes: share() };
+        let limits = Limits {
+            sockets,
+            memory_mb,
+            callers: share(),
+            upstream: share(),
+            bytes: share(),
+            tuning: Cell::default(),
+        };
         limits.share_with(0);
         Rc::new(limits)
     }
 
+    /// The tuning in force.
+    pub fn tuning(&self) -> Tuning {
+        self.tuning.get()
+    }
+
+    /// Tunes anew.
+    pub fn tune(&self, tuning: Tuning) {
+        self.tuning.set(tuning);
+    }
+
     /// Keeps to this process's part, with so many others beside it that the limits hold for as well.
     pub fn share_with(&self, others: usize) {
         let processes = others + 1;
@@ -132,7 +128,7 @@
         let bytes = self.memory_mb.saturating_mul(1 << 20) / BODY_PART / processes;
         self.callers.most.set(side);
         self.upstream.most.set(side);
-        self.bytes.most.set(bytes.max(2 * BODY_MOST));
+        self.bytes.most.set(bytes.max(2 * self.tuning().held_most));
     }
 }
 
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -66,9 +66,9 @@
         Pool { limits, servers: FxHashMap::default() }
     }
 
-    /// The limits in force.
-    pub fn limits(&self) -> PoolLimits {
-        self.limits
+    /// Other limits from now on.
+    pub fn limit(&mut self, limits: PoolLimits) {
+        self.limits = limits;
     }
 
     /// Chooses for an attempt at a server, which listens at `address` now. `room` tells whether another
--- a/crates/hillstall/src/config.rs
+++ b/crates/hillstall/src/config.rs
@@ -70,7 +70,8 @@
     Ok(changed.discovery)
 }
 
-fn parse(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+/// Reads the text of the file.
+pub fn parse(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let raw: Raw = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(text))
         .map_err(|e| e.to_string())?;
     let parsed = |key: &str, text: String| {
--- a/crates/hillstall/src/main.rs
+++ b/crates/hillstall/src/main.rs
@@ -1,11 +1,18 @@
 //! `hillstall`, the real proxy: the decision module on sockets. Here its parts are put together.
 
 mod admin;
+mod cli;
+mod commands;
 mod config;
+mod demo;
 mod handover;
 mod logs;
+mod operator;
+mod platform;
 
 use admin::Admin;
+use clap::Parser;
+use cli::{exit, Command, Set, What};
 use config::Config;
 use handover::Handover;
 use hillstall_core::driver::{Driver, Start};
@@ -16,6 +23,9 @@
 use hillstall_http1::discovery::HttpDiscovery;
 use hillstall_http1::front::Server;
 use hillstall_http1::upstream::Upstream;
+use logs::Logs;
+use operator::Operator;
+use std::cell::RefCell;
 use std::io::Write;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -30,7 +40,7 @@
     std::env::var(name).ok()
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, operator: Operator, set: Set) -> Result<(), String> {
     let address = config.listen;
     let listen = || sockets::listen(address).map_err(|e| format!("listen: {address}: {e}"));
     let handover = Handover::meet(&std::env::temp_dir(), address).await;
@@ -47,9 +57,13 @@
     let settings = config.settings.clone();
     let allowed = &settings.allowed;
     let limits = Limits::new(config.sockets, config.memory_mb);
+    let tuning = commands::tuning(&operator);
+    limits.tune(tuning);
+    limits.share_with(0);
     let (connect_ms, idle_ms) = (allowed.connect_timeout_ms, allowed.idle_close_ms);
     let upstream = Rc::new(Upstream::new(limits.clone(), connect_ms, idle_ms, settings.report.clone()));
     let (lifecycle, metrics) = (Lifecycle::new(), Metrics::new(&settings.classes));
+    lifecycle.notify_for(tuning.drain_notice);
     let knows_some = !config.known.endpoints.is_empty();
     let start = Start {
         settings: config.settings,
@@ -59,13 +73,17 @@
         max_open: limits.callers.most(),
     };
     let driver = Driver::start(start, upstream.clone(), Rc::new(HttpDiscovery), metrics.clone());
-    let followed = driver.clone();
+    let reloads = Reloads {
+        set,
+        operator: RefCell::new(operator),
+        driver: driver.clone(),
+        upstream: upstream.clone(),
+        limits: limits.clone(),
+        lifecycle: lifecycle.clone(),
+    };
     spawn_local(async move {
         while reload.recv().await.is_some() {
-            match config::reload(environment) {
-                Ok(discovery) => followed.follow(discovery),
-                Err(why) => tracing::error!("not reloaded: {why}"),
-            }
+            reloads.reload();
         }
     });
     let state = (lifecycle.clone(), metrics.clone());
@@ -107,22 +125,83 @@
     let _ = writeln!(std::io::stderr(), "hillstall: {word}");
 }
 
-fn main() -> ExitCode {
-    let logs = logs::Logs::start(logs::Format::Text, logs::Verbosity::Info);
-    let ran = config::load(environment).and_then(|config| {
-        let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-        LocalSet::new().block_on(&runtime, run(config))
-    });
-    match ran {
-        Ok(()) => {
-            if logs.dropped() > 0 {
-                say(format_args!("{} lines of the log were dropped unread", logs.dropped()));
+/// What SIGHUP changes.
+struct Reloads {
+    set: Set,
+    operator: RefCell<Operator>,
+    driver: Rc<Driver<Upstream>>,
+    upstream: Rc<Upstream>,
+    limits: Rc<Limits>,
+    lifecycle: Rc<Lifecycle>,
+}
+
+impl Reloads {
+    /// Reads both files again. Each is taken whole, or not at all: one wrong key leaves the old settings.
+    fn reload(&self) {
+        match config::reload(environment) {
+            Ok(discovery) => self.driver.follow(discovery),
+            Err(why) => tracing::error!("not reloaded: {why}"),
+        }
+        let new = match commands::operator(&self.set) {
+            Ok(new) => new,
+            Err(wrong) => {
+                wrong.iter().for_each(|wrong| tracing::error!("not reloaded: {wrong}"));
+                return;
             }
-            ExitCode::SUCCESS
+        };
+        for key in self.operator.borrow().fixed_changes(&new) {
+            tracing::warn!("{key} has changed and needs a restart");
+        }
+        let tuning = commands::tuning(&new);
+        self.limits.tune(tuning);
+        self.upstream.tune();
+        self.lifecycle.notify_for(tuning.drain_notice);
+        self.operator.replace(new);
+    }
+}
+
+/// Runs a proxy until it is told to end.
+fn serve(set: Set, load: impl FnOnce() -> Result<Config, String>) -> u8 {
+    let operator = match commands::operator(&set) {
+        Ok(operator) => operator,
+        Err(wrong) => return commands::tell(&wrong),
+    };
+    let config = match load() {
+        Ok(config) => config,
+        Err(why) => {
+            say(why);
+            return exit::CONFIGURATION;
         }
+    };
+    let logs = Logs::start(operator.word("log.format"), operator.word("log.level"));
+    let ran =
+        Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string()).and_then(|runtime| {
+            let tasks = LocalSet::new();
+            tasks.spawn_local(logs::tell_of_dropped(logs.dropped()));
+            tasks.block_on(&runtime, run(config, operator, set))
+        });
+    // Nothing is said of lines that were dropped: whoever did not read them would hold up the end.
+    drop(logs);
+    match ran {
+        Ok(()) => exit::OK,
         Err(why) => {
             say(why);
-            ExitCode::FAILURE
+            exit::FAILED
         }
     }
 }
+
+fn main() -> ExitCode {
+    let Command { what, set } = Command::parse();
+    ExitCode::from(match what {
+        None | Some(What::Run) => serve(set, || config::load(environment)),
+        Some(What::Demo { listen, servers }) => serve(set, || {
+            let config = demo::start(listen, servers)?;
+            say(demo::hint(listen));
+            Ok(config)
+        }),
+        Some(What::Check { files }) => commands::check(&files),
+        Some(What::Config { what: cli::Config::Show { json } }) => commands::show(&set, json),
+        Some(What::Completions { shell }) => commands::completions(shell),
+    })
+}
--- /dev/null
+++ b/crates/hillstall/src/operator/file.rs
@@ -0,0 +1,65 @@
+//! The operator file: TOML, read key by key, so that all that is wrong in it can be told at once.
+
+use super::{at, line_of, Origin, Wrong};
+use std::path::Path;
+use toml::de::{DeTable, DeValue};
+
+/// The largest file that is read; one of all keys has some KiB.
+const FILE_MOST: u64 = 1 << 20;
+
+/// Hands on every entry of a file; gives what is wrong with its text.
+pub fn entries(path: &Path, set: &mut impl FnMut(&str, &str, Origin)) -> Vec<Wrong> {
+    let unreadable = |why: String| vec![Wrong::Unreadable(path.display().to_string(), why)];
+    match std::fs::metadata(path) {
+        Ok(meta) if meta.len() > FILE_MOST => return unreadable("it is larger than 1 MiB".to_string()),
+        Ok(_) => {}
+        Err(e) => return unreadable(e.to_string()),
+    }
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(e) => return unreadable(e.to_string()),
+    };
+    let (table, errors) = DeTable::parse_recoverable(&text);
+    let mut wrong: Vec<Wrong> = errors
+        .iter()
+        .map(|e| Wrong::Syntax {
+            origin: at(path, e.span().map_or(1, |span| line_of(&text, span.start))),
+            why: e.message().to_string(),
+        })
+        .collect();
+    // What a broken line was taken for is not to be told as a second fault.
+    if wrong.is_empty() {
+        walk(path, &text, "", table.get_ref(), set, &mut wrong);
+    }
+    wrong
+}
+
+fn walk(
+    path: &Path,
+    text: &str,
+    before: &str,
+    table: &DeTable<'_>,
+    set: &mut impl FnMut(&str, &str, Origin),
+    wrong: &mut Vec<Wrong>,
+) {
+    for (name, value) in table {
+        let key = format!("{before}{}", name.get_ref());
+        let origin = at(path, line_of(text, name.span().start));
+        match value.get_ref() {
+            DeValue::Table(inner) => walk(path, text, &format!("{key}."), inner, set, wrong),
+            DeValue::String(word) => match super::find(&key) {
+                Some(known) if !known.kind.is_quoted() => {
+                    let why = format!("{word:?} must stand without quotes");
+                    wrong.push(Wrong::Value { origin, key, why });
+                }
+                _ => set(&key, word, origin),
+            },
+            DeValue::Integer(number) => set(&key, number.as_str(), origin),
+            DeValue::Boolean(on) => set(&key, &on.to_string(), origin),
+            other => {
+                let why = format!("a value of this kind ({}) has no meaning here", other.type_str());
+                wrong.push(Wrong::Value { origin, key, why });
+            }
+        }
+    }
+}
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -3,7 +3,7 @@
 
 use crate::io::Wire;
 use bytes::Bytes;
-use hillstall_core::limits::{Taken, MESSAGE_MOST, STALL};
+use hillstall_core::limits::Taken;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -22,9 +22,9 @@
 }
 
 impl Rest {
-    /// A message whose first pieces were read already.
-    pub fn new(first: VecDeque<Bytes>, body: Incoming) -> Rest {
-        Rest { first, body, left: MESSAGE_MOST }
+    /// A message whose first pieces were read already, and which may have so many bytes in all.
+    pub fn new(first: VecDeque<Bytes>, body: Incoming, most: usize) -> Rest {
+        Rest { first, body, left: most }
     }
 
     /// The next piece of data; other parts of a message stay behind.
@@ -129,8 +129,8 @@
     }
 
     /// Whether the backend that it goes to has taken nothing for too long.
-    pub fn is_stalled(&self) -> bool {
-        !self.ended.get() && !self.waiting.get() && self.pulled.get().elapsed() >= STALL
+    pub fn is_stalled(&self, stall: Duration) -> bool {
+        !self.ended.get() && !self.waiting.get() && self.pulled.get().elapsed() >= stall
     }
 
     /// Takes what no attempt has taken, so that it can be read off.
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -3,9 +3,8 @@
 use crate::body::{Outgoing, Rest};
 use crate::io::{Io, Wire};
 use bytes::Bytes;
-use hillstall_core::limits::{
-    Body, Limits, Taken, ANSWER_HOLD, ANSWER_TIME, BODY_MOST, MESSAGE_MOST, READ_AHEAD,
-};
+use hillstall_core::limits::{Body, Limits, Taken};
+use hillstall_core::tuning::Tuning;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
@@ -33,9 +32,9 @@
 
 impl Conn {
     /// Opens the protocol on a stream.
-    pub async fn open(stream: TcpStream, counted: Taken) -> Result<Conn, hyper::Error> {
-        let wire = Wire::new(stream);
-        let opened = Builder::new().max_buf_size(READ_AHEAD).handshake(Io(wire.clone())).await;
+    pub async fn open(stream: TcpStream, counted: Taken, tuning: &Tuning) -> Result<Conn, hyper::Error> {
+        let wire = Wire::new(stream, tuning);
+        let opened = Builder::new().max_buf_size(tuning.read_ahead).handshake(Io(wire.clone())).await;
         let (sender, protocol) = opened?;
         Ok(Conn { sender, protocol: Box::pin(protocol), over: false, wire, _counted: counted })
     }
@@ -111,20 +110,23 @@
 /// Reads a body, until it is whole or begins to pass. What tells no length may be long: after a short while
 /// its first bytes matter more than a second try.
 async fn gather(mut body: Incoming, length: Framed, limits: &Limits) -> Result<Gathered, ()> {
+    let tuning = limits.tuning();
+    let held_most = tuning.held_most;
     let (most, long) = match length {
-        Framed::Bytes(bytes) if bytes > MESSAGE_MOST as u64 => return Err(()),
-        Framed::Bytes(bytes) => ((bytes as usize).min(BODY_MOST), bytes > BODY_MOST as u64),
-        Framed::Untold => (BODY_MOST, false),
+        Framed::Bytes(bytes) if bytes > tuning.message_most as u64 => return Err(()),
+        Framed::Bytes(bytes) => ((bytes as usize).min(held_most), bytes > held_most as u64),
+        Framed::Untold => (held_most, false),
     };
     let mut room = limits.bytes.take(most).ok_or(())?;
-    let early = Instant::now() + if length == Framed::Untold { ANSWER_HOLD } else { ANSWER_TIME };
+    let early =
+        Instant::now() + if length == Framed::Untold { tuning.answer_hold } else { tuning.answer_time };
     let (mut first, mut held) = (VecDeque::new(), 0);
     loop {
         let passes = long || (length == Framed::Untold && Instant::now() >= early);
-        if held > 0 && (passes || held > BODY_MOST) {
-            return Ok(Gathered::Begun(Rest::new(first, body), room));
+        if held > 0 && (passes || held > held_most) {
+            return Ok(Gathered::Begun(Rest::new(first, body, tuning.message_most), room));
         }
-        let stalled = Instant::now() + ANSWER_TIME;
+        let stalled = Instant::now() + tuning.answer_time;
         let until = if length == Framed::Untold && held > 0 { early } else { stalled };
         match timeout_at(until.into(), body.frame()).await {
             Ok(Some(Ok(frame))) => {
--- a/crates/http1/src/discovery.rs
+++ b/crates/http1/src/discovery.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use hillstall_core::directory::List;
 use hillstall_core::discovery::{Discovery, Pending};
+use hillstall_core::tuning::Tuning;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{header::HOST, Request, StatusCode};
 use std::net::SocketAddr;
@@ -43,7 +44,9 @@
 ) -> Result<(hyper::body::Incoming, impl std::future::Future<Output = hyper::Result<()>>), String> {
     let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
     let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(Io(Wire::new(stream))).await.map_err(|e| e.to_string())?;
+        hyper::client::conn::http1::handshake(Io(Wire::new(stream, &Tuning::default())))
+            .await
+            .map_err(|e| e.to_string())?;
     let request = Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new());
     let request = request.map_err(|e| e.to_string())?;
     let mut connection = Box::pin(connection);
--- a/crates/http1/src/download.rs
+++ b/crates/http1/src/download.rs
@@ -4,12 +4,13 @@
 use crate::body::Rest;
 use crate::conn::Conn;
 use bytes::Bytes;
-use hillstall_core::limits::{Taken, STALL};
+use hillstall_core::limits::Taken;
 use hyper::body::{Body, Frame, SizeHint};
 use std::future::Future;
 use std::io::{Error, ErrorKind};
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::time::{sleep, Sleep};
 
 /// How far an answer that passes has come.
@@ -30,14 +31,21 @@
     keep: Option<Box<dyn FnOnce(Conn)>>,
     passed: Passed,
     stall: Option<Pin<Box<Sleep>>>,
+    stall_most: Duration,
     _room: Taken,
 }
 
 impl Download {
     /// An answer, and what becomes of its connection if that can carry another.
-    pub fn new(rest: Rest, conn: Conn, room: Taken, keep: impl FnOnce(Conn) + 'static) -> Download {
+    pub fn new(
+        rest: Rest,
+        conn: Conn,
+        room: Taken,
+        stall_most: Duration,
+        keep: impl FnOnce(Conn) + 'static,
+    ) -> Download {
         let (conn, keep) = (Some(conn), Some(Box::new(keep) as Box<dyn FnOnce(Conn)>));
-        Download { rest, conn, keep, passed: Passed::Partly, stall: None, _room: room }
+        Download { rest, conn, keep, passed: Passed::Partly, stall: None, stall_most, _room: room }
     }
 
     /// How far it has come.
@@ -90,7 +98,7 @@
                 Poll::Ready(None)
             }
             Poll::Pending => {
-                let stall = me.stall.get_or_insert_with(|| Box::pin(sleep(STALL)));
+                let stall = me.stall.get_or_insert_with(|| Box::pin(sleep(me.stall_most)));
                 match stall.as_mut().poll(cx) {
                     Poll::Pending => Poll::Pending,
                     Poll::Ready(()) => {
--- a/crates/http1/src/front/call.rs
+++ b/crates/http1/src/front/call.rs
@@ -2,6 +2,7 @@
 
 use super::caller::Caller;
 use super::head::{single, Bad, OpenId, REQUEST_ID};
+use super::record::{self, Record};
 use super::reply::{ended, plain, refusal, Reading, Replied, Reply};
 use super::{Server, TIDY};
 use crate::body::{discard, Rest, Upload};
@@ -10,7 +11,7 @@
 use bytes::Bytes;
 use hillstall_core::driver::Final;
 use hillstall_core::lifecycle::Phase;
-use hillstall_core::limits::{self, BODY_MOST, MESSAGE_MOST};
+use hillstall_core::limits;
 use hillstall_core::metrics::Ending;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -22,8 +23,6 @@
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::timeout_at;
 
-/// When a caller that there is no room for may come back.
-const NO_ROOM_MS: f64 = 500.0;
 /// How long `/up` waits for discovery before it makes do with the known list, or with none at all.
 const UP_KNOWN: Duration = Duration::from_millis(1_000);
 const UP_ANYWAY: Duration = Duration::from_millis(4_000);
@@ -76,17 +75,20 @@
         }
         let (mut asked, timeout_ms) = self.read_head(&head)?;
         let path = head.uri.path_and_query().ok_or((StatusCode::BAD_REQUEST, "no path"))?.clone();
+        let tuning = self.limits.tuning();
+        let held_most = tuning.held_most;
         let length = body.size_hint().exact();
-        if length.is_some_and(|length| length > MESSAGE_MOST as u64) {
+        if length.is_some_and(|length| length > tuning.message_most as u64) {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
         }
-        let hold = length.map_or(BODY_MOST, |length| (length as usize).min(BODY_MOST));
+        let hold = length.map_or(held_most, |length| (length as usize).min(held_most));
         let Some(mut room) = self.limits.bytes.take(hold) else {
             self.metrics.count(asked.class, Ending::Deferred);
             return Ok(self.no_room());
         };
         let timeout = Duration::from_millis(timeout_ms.into());
-        let (first, rest) = read(body).await.ok_or((StatusCode::BAD_REQUEST, "the body is cut short"))?;
+        let (first, rest) =
+            read(body, held_most).await.ok_or((StatusCode::BAD_REQUEST, "the body is cut short"))?;
         if caller.wire.is_ambiguous() {
             return Err((StatusCode::BAD_REQUEST, "the body is not in chunks"));
         }
@@ -99,9 +101,12 @@
                 room.keep(bytes.len());
                 Payload::Held(limits::Body::new(bytes, room))
             }
-            Some(body) => {
-                Payload::Passing(Upload::new(caller.wire.clone(), timeout, Rest::new(first, body), room))
-            }
+            Some(body) => Payload::Passing(Upload::new(
+                caller.wire.clone(),
+                timeout,
+                Rest::new(first, body, tuning.message_most),
+                room,
+            )),
         };
         let id = single(&head.headers, REQUEST_ID).unwrap_or_default();
         let _open = OpenId::new(&self.open_ids, id).ok_or((StatusCode::CONFLICT, "the id is in use"))?;
@@ -117,6 +122,9 @@
         };
         caller.upload.replace(upload.clone());
         let bodiless = head.method == Method::HEAD;
+        let id = if tuning.log_calls { id.to_string() } else { String::new() };
+        let (class, tenant) = (asked.class, asked.tenant);
+        let begun = caller.wire.begun().unwrap_or_else(Instant::now);
         let inbound = Inbound { method: head.method, path, headers: head.headers, body };
         let Some((guard, mut answer)) = self.driver.request(asked, inbound) else {
             return Ok(ended(self.no_room(), open, Ending::Deferred));
@@ -136,7 +144,19 @@
                 }
             }
         };
-        Ok(match answer {
+        let record = answer.as_ref().ok().filter(|_| tuning.log_calls).map(|ended| {
+            Box::new(Record {
+                id,
+                class: self.classes.get(usize::from(class)).map(|c| c.name.clone()).unwrap_or_default(),
+                tenant: self.tenants.get(usize::from(tenant)).map(|t| t.name.clone()).unwrap_or_default(),
+                end: record::end(&ended.answer),
+                status: 0,
+                course: ended.course,
+                begun,
+                ended: Instant::now(),
+            })
+        });
+        let mut reply = match answer.map(|ended| ended.answer) {
             Ok(Final::Served(answer)) => {
                 let (body, busy) = match answer.body {
                     AnswerBody::Held(body) => {
@@ -146,7 +166,7 @@
                     }
                     AnswerBody::Passing(answer) => (Reading::Passing(answer), Some(caller.clone())),
                 };
-                let mut reply = Response::new(Replied { body, open: None, busy });
+                let mut reply = Response::new(Replied { body, open: None, busy, record: None });
                 let kept = if bodiless { &[CONTENT_TYPE, CONTENT_LENGTH][..] } else { &[CONTENT_TYPE] };
                 for name in kept {
                     if let Some(value) = answer.headers.get(name) {
@@ -158,17 +178,23 @@
             Ok(Final::Refused(after_ms)) => ended(refusal(after_ms), open, Ending::Deferred),
             Ok(Final::Rejected(status)) => {
                 open.end(Ending::Errored);
+                if let Some(record) = record {
+                    Box::new(Record { status: status.as_u16(), ..*record }).write(true);
+                }
                 return Err((status, "a backend found fault with it"));
             }
             Ok(Final::Failed) | Err(_) => {
                 ended(plain(StatusCode::BAD_GATEWAY, "failed"), open, Ending::Errored)
             }
-        })
+        };
+        let status = reply.status().as_u16();
+        reply.body_mut().record = record.map(|record| Box::new(Record { status, ..*record }));
+        Ok(reply)
     }
 
     /// A refusal for want of room, which says when to come back where that is allowed.
     fn no_room(&self) -> Reply {
-        refusal(if self.retry_after { NO_ROOM_MS } else { 0.0 })
+        refusal(if self.retry_after { self.limits.tuning().come_back.as_secs_f64() * 1000.0 } else { 0.0 })
     }
 
     /// Whether calls can be served: there is a backend list, or none is to be had.
@@ -190,9 +216,9 @@
 
 /// Reads a body to its end, or until it is too long to be held; then the rest comes too. `None` if it is cut
 /// short.
-async fn read(mut body: Incoming) -> Option<(VecDeque<Bytes>, Option<Incoming>)> {
+async fn read(mut body: Incoming, held_most: usize) -> Option<(VecDeque<Bytes>, Option<Incoming>)> {
     let (mut first, mut held) = (VecDeque::new(), 0);
-    while held <= BODY_MOST {
+    while held <= held_most {
         match body.frame().await {
             None => return Some((first, None)),
             Some(frame) => {
--- a/crates/http1/src/front/caller.rs
+++ b/crates/http1/src/front/caller.rs
@@ -2,16 +2,12 @@
 
 use crate::body::Upload;
 use crate::io::Wire;
-use hillstall_core::limits::{self, Taken, REQUEST_TIME};
+use hillstall_core::limits::{self, Taken};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// How long a connection has said nothing when what the protocol holds for it is let go: some KiB each, which
-/// thousands of callers that keep their connections would add up to much.
-const PARK: Duration = Duration::from_millis(50);
-
 /// How far the end of a caller's connection has come.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Closing {
@@ -50,22 +46,22 @@
 
     /// Whether it has kept the proxy waiting for a whole request for too long: it says nothing, its head does
     /// not end, or its body trickles. Between two requests a used connection may rest.
-    pub(super) fn is_overdue(&self) -> bool {
+    pub(super) fn is_overdue(&self, request_time: Duration) -> bool {
         let from = if self.proven.get() { self.wire.begun() } else { Some(self.used.get()) };
         // What passes is taken before it is whole, and waits for it only if the backend could take more.
         let awaited = match &*self.upload.borrow() {
             Some(upload) => upload.is_awaited(),
             None => !self.taken.get(),
         };
-        let late = |from: Instant| from.elapsed() >= REQUEST_TIME && self.wire.step_time() >= REQUEST_TIME;
+        let late = |from: Instant| from.elapsed() >= request_time && self.wire.step_time() >= request_time;
         awaited && from.is_some_and(late)
     }
 
     /// Whether nothing needs to be remembered of it but its socket: it stands between two messages, and its last
     /// answer is out.
-    pub(super) fn may_park(&self) -> bool {
+    pub(super) fn may_park(&self, after: Duration) -> bool {
         let between = !self.taken.get() && self.wire.begun().is_none() && self.wire.is_between();
-        between && !self.wire.is_stuck() && self.used.get().elapsed() >= PARK && self.wire.is_quiet()
+        between && !self.wire.is_stuck() && self.used.get().elapsed() >= after && self.wire.is_quiet()
     }
 
     /// The present request is done with.
--- a/crates/http1/src/front/mod.rs
+++ b/crates/http1/src/front/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod caller;
 mod head;
+mod record;
 mod reply;
 
 use crate::io::{Io, Wire};
@@ -10,7 +11,7 @@
 use caller::{Caller, Closing};
 use hillstall_core::driver::Driver;
 use hillstall_core::lifecycle::Lifecycle;
-use hillstall_core::limits::{Limits, Taken, CALLER_IDLE, READ_AHEAD};
+use hillstall_core::limits::{Limits, Taken};
 use hillstall_core::metrics::Metrics;
 use hillstall_core::sockets::out_of_descriptors;
 use hillstall_module::api::{Class, Settings, Tenant};
@@ -28,9 +29,6 @@
 
 /// How often connections are looked after.
 const TIDY: Duration = Duration::from_millis(100);
-/// How long a connection must have been idle to be closed by a drain or a stop: one that has just come may be
-/// about to ask.
-const REST: Duration = Duration::from_millis(250);
 /// How many connections are looked at for the one that has said least.
 const SHED_LOOKS: usize = 8;
 /// How many others may be asked to give way to one connection.
@@ -197,13 +195,14 @@
     }
 
     fn close_overdue(&self) {
-        for caller in self.callers.borrow().values().filter(|c| c.is_overdue()) {
+        let tuning = self.limits.tuning();
+        for caller in self.callers.borrow().values().filter(|c| c.is_overdue(tuning.request_time)) {
             caller.upload.take();
             caller.taken.set(false);
             caller.close(Closing::Now);
         }
         // One that does not read its answer is owed no more of it.
-        for caller in self.callers.borrow().values().filter(|c| c.wire.is_stalled()) {
+        for caller in self.callers.borrow().values().filter(|c| c.wire.is_stalled(tuning.stall)) {
             caller.taken.set(false);
             caller.close(Closing::Now);
         }
@@ -214,11 +213,15 @@
         loop {
             sleep(TIDY).await;
             self.close_overdue();
-            self.close_idle(if self.lifecycle.closes_idle() { REST } else { CALLER_IDLE });
+            let tuning = self.limits.tuning();
+            let closes = self.lifecycle.closes_idle();
+            self.close_idle(if closes { tuning.drain_rest } else { tuning.caller_idle });
             for caller in self.callers.borrow().values().filter(|c| !c.wire.is_stuck()) {
                 caller.last.take();
             }
-            for caller in self.callers.borrow().values().filter(|c| !c.parked.get() && c.may_park()) {
+            for caller in
+                self.callers.borrow().values().filter(|c| !c.parked.get() && c.may_park(tuning.park))
+            {
                 caller.close.notify_one();
             }
             self.upstream.reap();
@@ -252,7 +255,7 @@
     /// connections that nobody knows of yet would be taken for callers that can't give way.
     fn enter(&self, stream: TcpStream, counted: Taken) -> (u64, Rc<Caller>) {
         let caller = Rc::new(Caller {
-            wire: Wire::for_caller(stream),
+            wire: Wire::for_caller(stream, &self.limits.tuning()),
             taken: Cell::new(false),
             proven: Cell::new(false),
             used: Cell::new(Instant::now()),
@@ -286,7 +289,8 @@
         let service =
             service_fn(|request| async move { Ok::<_, Infallible>(self.serve(caller, request).await) });
         let io = Io(caller.wire.clone());
-        let serving = http1::Builder::new().max_buf_size(READ_AHEAD).serve_connection(io, service);
+        let serving =
+            http1::Builder::new().max_buf_size(self.limits.tuning().read_ahead).serve_connection(io, service);
         tokio::pin!(serving);
         loop {
             tokio::select! {
@@ -295,7 +299,7 @@
                 // connection, and a request that was open with its guard.
                 _ = &mut serving => return After::Over,
                 () = caller.close.notified() => match caller.closing.get() {
-                    Closing::No if caller.may_park() => return After::Parks,
+                    Closing::No if caller.may_park(self.limits.tuning().park) => return After::Parks,
                     Closing::No => {}
                     Closing::Now if !caller.taken.get() => return After::Over,
                     _ => serving.as_mut().graceful_shutdown(),
--- /dev/null
+++ b/crates/http1/src/front/record.rs
@@ -0,0 +1,64 @@
+//! One record of the log for each call, where the operator asks for it.
+
+use crate::upstream::Upstream;
+use hillstall_core::driver::{Course, Final};
+use std::time::{Duration, Instant};
+
+/// What the log is told of a call.
+pub(super) struct Record {
+    pub(super) id: String,
+    pub(super) class: String,
+    pub(super) tenant: String,
+    pub(super) end: &'static str,
+    pub(super) status: u16,
+    pub(super) course: Course,
+    /// When the first bytes of the call were read.
+    pub(super) begun: Instant,
+    /// When its final answer was there.
+    pub(super) ended: Instant,
+}
+
+/// Why a call ended as it did, in one word.
+pub(super) fn end(answer: &Final<Upstream>) -> &'static str {
+    match answer {
+        Final::Served(_) => "served",
+        Final::Refused(_) => "refused",
+        Final::Failed => "failed",
+        Final::Rejected(_) => "rejected",
+    }
+}
+
+fn ms(time: Duration) -> f64 {
+    (time.as_secs_f64() * 1e6).round() / 1e3
+}
+
+impl Record {
+    /// Writes the record, now that the answer has gone to the connection, or can't. Phases are in milliseconds:
+    /// reading the call, deciding on its first attempt, all attempts but the last, the last, and writing.
+    pub(super) fn write(self: Box<Self>, whole: bool) {
+        let Record { id, class, tenant, end, status, course, begun, ended } = *self;
+        let first = course.first_sent.unwrap_or(ended);
+        let last = course.last_sent.unwrap_or(ended);
+        let between = |from: Instant, to: Instant| ms(to.saturating_duration_since(from));
+        let server = course.server.map(|server| server.to_string()).unwrap_or_default();
+        let outcome = course.last_outcome.map(|outcome| format!("{outcome:?}")).unwrap_or_default();
+        tracing::info!(
+            target: "hillstall::call",
+            id,
+            class,
+            tenant,
+            end,
+            status,
+            whole,
+            attempts = course.attempts,
+            server,
+            outcome,
+            read_ms = between(begun, course.taken),
+            decide_ms = between(course.taken, first),
+            earlier_ms = between(first, last),
+            last_ms = between(last, ended),
+            write_ms = ms(ended.elapsed()),
+            "call"
+        );
+    }
+}
--- a/crates/http1/src/front/reply.rs
+++ b/crates/http1/src/front/reply.rs
@@ -1,6 +1,7 @@
 //! Replies to callers.
 
 use super::caller::Caller;
+use super::record::Record;
 use crate::download::{Download, Passed};
 use bytes::Bytes;
 use hillstall_core::metrics::{Ending, InProgress};
@@ -20,6 +21,8 @@
     pub(super) open: Option<(InProgress, Ending)>,
     /// The caller, which is busy until an answer that passes has ended.
     pub(super) busy: Option<Rc<Caller>>,
+    /// What the log is told of the call, if it is to be told.
+    pub(super) record: Option<Box<Record>>,
 }
 
 /// Where the body of a reply comes from.
@@ -70,6 +73,9 @@
         if let (Some((open, usual)), Some(how)) = (self.open.take(), how) {
             open.end(how.unwrap_or(usual));
         }
+        if let Some(record) = self.record.take() {
+            record.write(how.is_some());
+        }
         if let Some(caller) = self.busy.take() {
             caller.rests();
         }
@@ -77,7 +83,7 @@
 }
 
 pub(super) fn whole(bytes: Bytes) -> Replied {
-    Replied { body: Reading::Held(Full::new(bytes)), open: None, busy: None }
+    Replied { body: Reading::Held(Full::new(bytes)), open: None, busy: None, record: None }
 }
 
 /// A reply with which a request ends.
--- a/crates/http1/src/io.rs
+++ b/crates/http1/src/io.rs
@@ -2,8 +2,8 @@
 //! follows a request on its way out, so that it is known whether the last byte of it was written.
 
 use crate::framing::Framing;
-use hillstall_core::limits::{REQUEST_STEP, STALL, SYSTEM_BUFFER};
 use hillstall_core::metrics::Counter;
+use hillstall_core::tuning::Tuning;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -92,24 +92,26 @@
     step: Cell<(Instant, usize)>,
     written: RefCell<Written>,
     framing: Option<RefCell<Framing>>,
+    request_step: usize,
 }
 
 impl Wire {
     /// Takes a stream over; small messages must not wait for the peer's acknowledgement.
-    pub fn new(stream: TcpStream) -> Rc<Wire> {
-        Wire::with(stream, None)
+    pub fn new(stream: TcpStream, tuning: &Tuning) -> Rc<Wire> {
+        Wire::with(stream, tuning, None)
     }
 
     /// The same for a caller's stream, whose requests are followed.
-    pub fn for_caller(stream: TcpStream) -> Rc<Wire> {
-        Wire::with(stream, Some(RefCell::default()))
+    pub fn for_caller(stream: TcpStream, tuning: &Tuning) -> Rc<Wire> {
+        Wire::with(stream, tuning, Some(RefCell::default()))
     }
 
-    fn with(stream: TcpStream, framing: Option<RefCell<Framing>>) -> Rc<Wire> {
+    fn with(stream: TcpStream, tuning: &Tuning, framing: Option<RefCell<Framing>>) -> Rc<Wire> {
         // Fails only on a stream that is already dead, which the first read tells.
         let _ = stream.set_nodelay(true);
         let socket = SockRef::from(&stream);
-        let _ = socket.set_send_buffer_size(SYSTEM_BUFFER).and(socket.set_recv_buffer_size(SYSTEM_BUFFER));
+        let buffer = tuning.system_buffer;
+        let _ = socket.set_send_buffer_size(buffer).and(socket.set_recv_buffer_size(buffer));
         let now = Instant::now();
         Rc::new(Wire {
             stream: RefCell::new(stream),
@@ -121,6 +123,7 @@
             step: Cell::new((now, 0)),
             written: RefCell::default(),
             framing,
+            request_step: tuning.request_step,
         })
     }
 
@@ -178,15 +181,15 @@
         }
         let (from, read) = self.step.get();
         let read = read + bytes.len();
-        self.step.set(if read >= REQUEST_STEP { (now, 0) } else { (from, read) });
+        self.step.set(if read >= self.request_step { (now, 0) } else { (from, read) });
         if let Some(framing) = &self.framing {
             framing.borrow_mut().add(bytes);
         }
     }
 
     /// Whether what is to be written has waited for the peer to read for too long.
-    pub fn is_stalled(&self) -> bool {
-        self.stuck.get() && self.moved.get().elapsed() >= STALL
+    pub fn is_stalled(&self, stall: Duration) -> bool {
+        self.stuck.get() && self.moved.get().elapsed() >= stall
     }
 
     /// Whether what is to be written waits for the peer to read.
--- a/crates/http1/src/upstream.rs
+++ b/crates/http1/src/upstream.rs
@@ -9,6 +9,7 @@
 use hillstall_core::limits::Limits;
 use hillstall_core::pool::{Choice, Pool, PoolLimits};
 use hillstall_core::sockets::out_of_descriptors;
+use hillstall_core::tuning::Tuning;
 use hillstall_module::api::{BackendId, Outcome, ReportField};
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -31,13 +32,6 @@
     header::CONTENT_LENGTH,
     header::EXPECT,
 ];
-/// How long a connection rests after an answer: what comes right behind one must be seen before the connection
-/// is used again, or it would be taken for the next answer.
-const REST: Duration = Duration::from_millis(2);
-/// Connections that may rest for one backend at a time.
-const KEPT_MOST: usize = 64;
-/// Waits for a rest, in a short while, that are borne before another connection is opened.
-const PINCHES_MOST: u32 = 3;
 /// How often an attempt whose body passes is looked at.
 const LOOK: Duration = Duration::from_millis(20);
 const NOT_STARTED: HeaderName = HeaderName::from_static("not-started");
@@ -46,10 +40,20 @@
 const ALIVE_PATH: &str = "/alive";
 const LOAD_PATH: &str = "/metrics/load";
 
+fn pool_limits(tuning: &Tuning, idle_most: Duration) -> PoolLimits {
+    PoolLimits {
+        rest: tuning.pool_rest,
+        idle_most,
+        kept_most: tuning.pool_kept,
+        pinches_most: tuning.pool_waits,
+    }
+}
+
 /// Carries calls to backends over HTTP/1.1.
 pub struct Upstream {
     pool: RefCell<Pool<BackendId, Conn>>,
     limits: Rc<Limits>,
+    idle_most: Duration,
     connect_timeout: Duration,
     reports: Reports,
 }
@@ -65,15 +69,21 @@
     ) -> Upstream {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(0.0, 3.6e6) / 1000.0);
         let idle_most = span(idle_close_ms / 2.0);
-        let bounds = PoolLimits { rest: REST, idle_most, kept_most: KEPT_MOST, pinches_most: PINCHES_MOST };
+        let pool = Pool::new(pool_limits(&limits.tuning(), idle_most));
         Upstream {
-            pool: RefCell::new(Pool::new(bounds)),
+            pool: RefCell::new(pool),
+            idle_most,
             limits,
             connect_timeout: span(connect_ms),
             reports: Reports::new(fields),
         }
     }
 
+    /// Goes by the tuning as it is now.
+    pub fn tune(&self) {
+        self.pool.borrow_mut().limit(pool_limits(&self.limits.tuning(), self.idle_most));
+    }
+
     /// Drops what has been idle for long, or was closed at the other end.
     pub fn reap(&self) {
         self.pool.borrow_mut().expire(Instant::now(), |conn| conn.wire().is_quiet());
@@ -127,7 +137,7 @@
             }
             _ => return Err(Outcome::ConnectFailed),
         };
-        Conn::open(stream, counted).await.map_err(|_| Outcome::ConnectFailed)
+        Conn::open(stream, counted, &self.limits.tuning()).await.map_err(|_| Outcome::ConnectFailed)
     }
 
     /// Checks a backend once, on a connection of its own.
@@ -201,7 +211,7 @@
             let result = tokio::select! {
                 biased;
                 result = exchange => Ok(result),
-                () = overdue(inbound, until, most) => Err(()),
+                () = overdue(inbound, until, most, self.limits.tuning().stall) => Err(()),
             };
             if let Ok(Ok(Exchanged { status, headers, body })) = result {
                 let report = self.reports.of(&headers);
@@ -222,7 +232,13 @@
                                 me.put_back(backend, address, conn);
                             }
                         };
-                        Some(AnswerBody::Passing(Box::new(Download::new(rest, conn, room, keep))))
+                        Some(AnswerBody::Passing(Box::new(Download::new(
+                            rest,
+                            conn,
+                            room,
+                            self.limits.tuning().stall,
+                            keep,
+                        ))))
                     }
                     _ => None,
                 };
@@ -289,12 +305,12 @@
 
 /// Ends when an attempt of this request must: at `until`, or where the body passes, as long after its last
 /// byte, or when the backend has stopped taking it.
-async fn overdue(inbound: &Inbound, until: Instant, most: Duration) {
+async fn overdue(inbound: &Inbound, until: Instant, most: Duration, stall: Duration) {
     let Payload::Passing(upload) = &inbound.body else { return sleep_until(until.into()).await };
     let ended = loop {
         match upload.deadline() {
             Some(deadline) => break deadline,
-            None if upload.is_stalled() => return,
+            None if upload.is_stalled(stall) => return,
             None => sleep(LOOK).await,
         }
     };
