--- a/crates/bench/src/paths.rs
+++ b/crates/bench/src/paths.rs
@@ -3,11 +3,14 @@
 
 use crate::child::{await_listener, Broken, Measured};
 use hillstall_lab::callers::{self, Tally};
+use hillstall_lab::servers::Connections;
 use hillstall_lab::site::{config, Holds};
 use hillstall_lab::{discovery, relay as bare, servers};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::{spawn_local, LocalSet};
@@ -37,6 +40,7 @@
 struct Site {
     servers: Vec<SocketAddr>,
     discovery: SocketAddr,
+    connections: Arc<Connections>,
 }
 
 fn site() -> Result<Site, Broken> {
@@ -45,17 +49,19 @@
     let addresses: Vec<SocketAddr> = listeners.iter().map(|(_, address)| *address).collect();
     let known = discovery::list(&addresses);
     let runtime = runtime()?;
+    let connections = Arc::new(Connections::default());
+    let counted = connections.clone();
     std::thread::spawn(move || {
         LocalSet::new().block_on(&runtime, async move {
             for (listener, _) in listeners {
                 let listener = tokio::net::TcpListener::from_std(listener).expect("a listener of our own");
-                spawn_local(servers::serve(listener, Rc::new(|_, _| BODY.to_vec())));
+                spawn_local(servers::serve(listener, Rc::new(|_, _| BODY.to_vec()), counted.clone()));
             }
             let list = tokio::net::TcpListener::from_std(list).expect("a listener of our own");
             discovery::serve(list, known).await;
         });
     });
-    Ok(Site { servers: addresses, discovery })
+    Ok(Site { servers: addresses, discovery, connections })
 }
 
 fn start_proxy(program: &Path, site: &Site, holds: Holds) -> Result<(Measured, SocketAddr), Broken> {
@@ -82,6 +88,8 @@
     tally: Tally,
     seconds: f64,
     cpu: Duration,
+    opened: u64,
+    open: u64,
 }
 
 impl Run {
@@ -99,22 +107,33 @@
 
     fn row(&self, what: &str, callers: usize) -> String {
         format!(
-            "| {callers} | {what} | {:.0} | {:.3} | {:.3} | {:.1} | {:.0} | {} | {} |",
+            "| {callers} | {what} | {:.0} | {:.3} | {:.3} | {:.1} | {:.0} | {} | {} | {} | {} |",
             self.calls() / self.seconds,
             self.p(0.5),
             self.p(0.99),
             self.cpu_us(),
             1e6 / self.cpu_us().max(0.001),
             self.tally.refused,
-            self.tally.failed
+            self.tally.failed,
+            self.opened,
+            self.open
         )
     }
 }
 
-async fn run(child: &Measured, address: SocketAddr, callers: usize, seconds: f64) -> Result<Run, Broken> {
-    let before = child.cpu()?;
+async fn run(
+    site: &Site,
+    child: &Measured,
+    address: SocketAddr,
+    callers: usize,
+    seconds: f64,
+) -> Result<Run, Broken> {
+    let count = &site.connections;
+    let (before, opened) = (child.cpu()?, count.opened.load(Ordering::Relaxed));
     let tally = callers::run(address, callers, Duration::from_secs_f64(seconds)).await;
-    Ok(Run { tally, seconds, cpu: child.cpu()? - before })
+    let opened = count.opened.load(Ordering::Relaxed) - opened;
+    let open = count.open.load(Ordering::Relaxed);
+    Ok(Run { tally, seconds, cpu: child.cpu()? - before, opened, open })
 }
 
 fn median(mut of: Vec<f64>) -> f64 {
@@ -133,8 +152,8 @@
             command.args(site.servers.iter().map(ToString::to_string));
         })?;
         await_listener("the relay", relay_at).await?;
-        println!("| callers | path | calls/s | p50 ms | p99 ms | CPU µs a call | calls/s of a core | refused | failed |");
-        println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        println!("| callers | path | calls/s | p50 ms | p99 ms | CPU µs a call | calls/s of a core | refused | failed | opened | open |");
+        println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         let mut ratios = Vec::new();
         for callers in callers {
             let (mut cpu, mut p50) = (Vec::new(), Vec::new());
@@ -143,10 +162,10 @@
                 let (proxy, proxy_at) =
                     start_proxy(program, &site, Holds { sockets: 1_024, memory_mb: 192 })?;
                 await_listener("the proxy", proxy_at).await?;
-                let fresh = run(&proxy, proxy_at, *callers, WARM_UP.as_secs_f64()).await?;
-                run(&relay, relay_at, *callers, WARM_UP.as_secs_f64()).await?;
-                let through_relay = run(&relay, relay_at, *callers, seconds).await?;
-                let through_proxy = run(&proxy, proxy_at, *callers, seconds).await?;
+                let fresh = run(&site, &proxy, proxy_at, *callers, WARM_UP.as_secs_f64()).await?;
+                run(&site, &relay, relay_at, *callers, WARM_UP.as_secs_f64()).await?;
+                let through_relay = run(&site, &relay, relay_at, *callers, seconds).await?;
+                let through_proxy = run(&site, &proxy, proxy_at, *callers, seconds).await?;
                 println!("{}", through_relay.row("relay", *callers));
                 println!("{}", fresh.row("fresh proxy", *callers));
                 println!("{}", through_proxy.row("proxy", *callers));
--- a/crates/hillstall/src/demo.rs
+++ b/crates/hillstall/src/demo.rs
@@ -4,6 +4,7 @@
 use hillstall_lab::{discovery, servers, site};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::runtime::Builder;
 use tokio::task::{spawn_local, LocalSet};
 
@@ -33,7 +34,7 @@
                         .to_string()
                         .into_bytes()
                     };
-                    spawn_local(servers::serve(listener, Rc::new(answers)));
+                    spawn_local(servers::serve(listener, Rc::new(answers), Arc::default()));
                 }
                 if let Ok(list) = tokio::net::TcpListener::from_std(list) {
                     discovery::serve(list, known).await;
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -2,6 +2,8 @@
 
 use httparse::{Request, EMPTY_HEADER};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -13,13 +15,25 @@
 /// What a server makes of a request: the body of its answer.
 pub type Answers = dyn Fn(&str, &str) -> Vec<u8>;
 
+/// Connections of servers: each has its price at a real one.
+#[derive(Debug, Default)]
+pub struct Connections {
+    /// Opened since the start.
+    pub opened: AtomicU64,
+    /// Open at the moment.
+    pub open: AtomicU64,
+}
+
 /// Serves every connection until the listener's task is dropped. `answers` is given method and target.
-pub async fn serve(listener: TcpListener, answers: Rc<Answers>) {
+pub async fn serve(listener: TcpListener, answers: Rc<Answers>, connections: Arc<Connections>) {
     while let Ok((stream, _)) = listener.accept().await {
-        let answers = answers.clone();
+        let (answers, connections) = (answers.clone(), connections.clone());
         spawn_local(async move {
+            connections.opened.fetch_add(1, Ordering::Relaxed);
+            connections.open.fetch_add(1, Ordering::Relaxed);
             // A peer that leaves, or sends what is no request, ends its own connection alone.
             let _ = connection(stream, &*answers).await;
+            connections.open.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
