A crowded gate bears half of the patience others yield for; ill backends fill sooner

The tier's gate bears half as much beyond; an ill backend counts as full with the root of its health.

Leaving slower backends alone for 6 s was tried and not kept.

--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -57,6 +57,8 @@
 /// Times the tier's usual stress above which its top gate is cut, where that is below the limit by the aim: a
 /// queue twice as long as usual serves no more, and servers that are held crowded slow down for good.
 const CROWDED: f64 = 1.5;
+/// Part of the patience that others yield for which counts also for a crowded tier.
+const YIELD_CROWD: f64 = 0.5;
 /// Stress below which nothing counts as crowded: where answers take so small a part of the time wanted, a
 /// queue of that length harms nobody, and what looks like one may be the grain of a clock.
 const CROWDED_FROM: f64 = 0.02;
@@ -771,7 +773,7 @@
         let (late, crowded, longer) =
             if top { (TOP_STRESS, crowded, longer) } else { (DEEP_STRESS, f64::MAX, 0.0) };
         let junior = Limit { late, crowded };
-        let most = Limit { late: late + longer, crowded: crowded + longer };
+        let most = Limit { late: late + longer, crowded: crowded + YIELD_CROWD * longer };
         let hard = self.tier.learn(self.now, sample, most);
         // All classes learn from every call: a class with a long aim would else never feel the load it makes.
         for (node, yields) in self.classes.iter_mut().zip(&self.yielding) {
@@ -928,7 +930,10 @@
 
     fn weight(&self, i: usize, held: &Held, mean_load: f64, overdue: Millis, away: f64) -> f64 {
         let b = &self.backends[i];
-        let room = b.rating() * b.warmth(self.now, &self.settings.rules);
+        // An ill backend is full with fewer calls. Were it but drawn less often, it would be filled to
+        // HEALTH_FLOOR^(1/8), three fifths of the calls that a sound one has out, and a hang holds them long.
+        let health = b.health_now(self.now, held.class).max(HEALTH_FLOOR);
+        let room = b.rating() * b.warmth(self.now, &self.settings.rules) * health.sqrt();
         let load = 1.0 + b.in_flight / room / (mean_load + 0.5);
         let mut weight = 1.0 / (b.slowness.max(0.1).powi(3) * load.powi(8));
         // A hang shows first as silence: calls out for long and nothing answered since.
