--- a/crates/hillstall/src/cli.rs
+++ b/crates/hillstall/src/cli.rs
@@ -71,6 +71,12 @@
         #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=64))]
         servers: u16,
     },
+    /// Rehearse failures in simulated time, and hold policies against each other
+    Lab {
+        /// What to do
+        #[command(subcommand)]
+        what: crate::lab::Lab,
+    },
     /// Print a script that completes commands in a shell
     Completions {
         /// The shell
--- a/crates/hillstall/src/commands.rs
+++ b/crates/hillstall/src/commands.rs
@@ -9,7 +9,7 @@
 use std::path::{Path, PathBuf};
 
 /// Writes to standard output. Guards against a panic where the reader has left, as `head` does.
-fn print(text: &str) {
+pub fn print(text: &str) {
     let _ = std::io::stdout().write_all(text.as_bytes());
 }
 
@@ -24,6 +24,17 @@
     exit::CONFIGURATION
 }
 
+/// The exit code of a command that reads files; its error is told.
+pub fn done(result: Result<(), String>) -> u8 {
+    match result {
+        Ok(()) => exit::OK,
+        Err(why) => {
+            say(why);
+            exit::CONFIGURATION
+        }
+    }
+}
+
 /// Checks files; the ending tells of which kind each is.
 pub fn check(files: &[PathBuf]) -> u8 {
     let mut faults = 0;
--- /dev/null
+++ b/crates/hillstall/src/lab.rs
@@ -0,0 +1,207 @@
+//! `hillstall lab`: experiments in simulated time.
+
+use crate::commands::print;
+use crate::say;
+use clap::{Args, Subcommand};
+use hillstall_lab::experiment::{self, Axis};
+use hillstall_lab::policy::Named;
+use hillstall_lab::report;
+use hillstall_lab::scenario::Scenario;
+use hillstall_lab::scenarios;
+use hillstall_lab::sim::Tally;
+use indicatif::ProgressBar;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+/// What can be tried out.
+#[derive(Subcommand)]
+pub enum Lab {
+    /// Name the scenarios that come with the program, or print one to start from
+    Scenarios {
+        /// Print this one
+        name: Option<String>,
+    },
+    /// Run policies through a scenario and hold them against each other
+    Run {
+        /// A file, or a scenario that comes with the program
+        #[arg(default_value = "lose-hall")]
+        scenario: String,
+        /// Policies
+        #[arg(
+            long,
+            value_delimiter = ',',
+            default_value = "hillstall,random,round-robin,least-outstanding,two-choices,oracle"
+        )]
+        policy: Vec<Named>,
+        /// How to run and where to write
+        #[command(flatten)]
+        how: How,
+    },
+    /// Hold two policies against each other, seed by seed, with 95% intervals
+    Compare {
+        /// The one that is there
+        a: Named,
+        /// The one that may be better
+        b: Named,
+        /// A file, or a scenario that comes with the program
+        #[arg(default_value = "lose-hall")]
+        scenario: String,
+        /// How to run and where to write
+        #[command(flatten)]
+        how: How,
+    },
+    /// Run a grid of parameters
+    Sweep {
+        /// A file, or a scenario that comes with the program
+        #[arg(default_value = "lose-hall")]
+        scenario: String,
+        /// An axis of the grid: KEY=VALUE,VALUE, as in load.of_capacity=0.4,0.5
+        #[arg(long = "vary", required = true)]
+        axes: Vec<Axis>,
+        /// Policies
+        #[arg(long, value_delimiter = ',', default_value = "hillstall")]
+        policy: Vec<Named>,
+        /// How to run and where to write
+        #[command(flatten)]
+        how: How,
+    },
+    /// Draw the page of results kept with --json
+    Report {
+        /// JSON lines
+        results: PathBuf,
+        /// The page
+        #[arg(default_value = "hillstall-lab.html")]
+        page: PathBuf,
+    },
+}
+
+/// How to run and where to write.
+#[derive(Args)]
+pub struct How {
+    /// Seeds: this many, from 1 on
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+    seeds: u64,
+    /// Write a page with table and plots
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+    /// Write each run as a JSON line
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+}
+
+/// Does it; an error says what is wrong with which file or key.
+pub fn run(lab: Lab) -> Result<(), String> {
+    match lab {
+        Lab::Scenarios { name: None } => {
+            scenarios::names().for_each(|name| print(&format!("{name}\n")));
+            Ok(())
+        }
+        Lab::Scenarios { name: Some(name) } => {
+            let text = scenarios::text(&name).ok_or_else(|| format!("{name}: no such scenario"))?;
+            print(text);
+            Ok(())
+        }
+        Lab::Run { scenario, policy, how } => {
+            let (name, text) = read(&scenario)?;
+            let scenario = Scenario::parse(&text).map_err(|why| format!("{name}: {why}"))?;
+            let tallies = runs(&[(String::new(), scenario)], &policy, &how);
+            show(&name, tallies, &how)
+        }
+        Lab::Compare { a, b, scenario, how } => {
+            let (name, text) = read(&scenario)?;
+            let scenario = Scenario::parse(&text).map_err(|why| format!("{name}: {why}"))?;
+            let tallies = runs(&[(String::new(), scenario)], &[a, b], &how);
+            let (first, second) = tallies.split_at(tallies.len() / 2);
+            let gains = gains(first, second);
+            show(&name, tallies, &how)?;
+            print(&format!("\n{} over {}, seed by seed:\n{gains}\n", b.name(), a.name()));
+            Ok(())
+        }
+        Lab::Sweep { scenario, axes, policy, how } => {
+            let (name, text) = read(&scenario)?;
+            let cells = experiment::grid(&text, &axes).map_err(|why| format!("{name}: {why}"))?;
+            let tallies = runs(&cells, &policy, &how);
+            show(&name, tallies, &how)
+        }
+        Lab::Report { results, page } => {
+            let text = std::fs::read_to_string(&results).map_err(|e| at(&results, &e))?;
+            let mut tallies: Vec<Tally> = Vec::new();
+            for (i, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
+                let wrong = |e| format!("{}: line {}: {e}", results.display(), i + 1);
+                tallies.push(serde_json::from_str(line).map_err(wrong)?);
+            }
+            write_page(&results.display().to_string(), &page, &report::groups(tallies))
+        }
+    }
+}
+
+fn at(path: &Path, why: &dyn std::fmt::Display) -> String {
+    format!("{}: {why}", path.display())
+}
+
+/// A scenario's name and text.
+fn read(scenario: &str) -> Result<(String, String), String> {
+    if let Some(text) = scenarios::text(scenario) {
+        return Ok((scenario.to_string(), text.to_string()));
+    }
+    match std::fs::read_to_string(scenario) {
+        Ok(text) => Ok((scenario.to_string(), text)),
+        Err(why) => {
+            let names = scenarios::names().collect::<Vec<_>>().join(", ");
+            Err(format!("{scenario}: {why}; with the program come {names}"))
+        }
+    }
+}
+
+fn runs(cells: &[(String, Scenario)], policies: &[Named], how: &How) -> Vec<Tally> {
+    let seeds: Vec<u64> = (1..=how.seeds).collect();
+    let bar = ProgressBar::new((cells.len() * policies.len()) as u64 * how.seeds);
+    let mut all = Vec::new();
+    for (cell, scenario) in cells {
+        let mut tallies = experiment::runs(scenario, policies, &seeds, || bar.inc(1));
+        tallies.iter_mut().for_each(|tally| tally.cell.clone_from(cell));
+        all.append(&mut tallies);
+    }
+    bar.finish_and_clear();
+    all
+}
+
+type Figure = (&'static str, f64, fn(&Tally) -> f64);
+
+fn gains(a: &[Tally], b: &[Tally]) -> String {
+    let figures: [Figure; 4] = [
+        ("service, points in 100", 100.0, |t| t.service),
+        ("worst 10 s, points in 100", 100.0, |t| t.worst),
+        ("99th percentile, ms", 1.0, |t| t.p99_ms),
+        ("attempts a call", 1.0, |t| t.attempts),
+    ];
+    let line = |(name, scale, figure): Figure| {
+        let gain = experiment::gain(a, b, figure);
+        let apart = if gain.is_apart() { "" } else { "   (may be chance)" };
+        format!("  {name}: {:+.2} ± {:.2}{apart}", scale * gain.mean, scale * gain.half)
+    };
+    figures.map(line).join("\n")
+}
+
+fn show(name: &str, tallies: Vec<Tally>, how: &How) -> Result<(), String> {
+    if let Some(path) = &how.json {
+        let mut file = std::fs::File::create(path).map_err(|e| at(path, &e))?;
+        for tally in &tallies {
+            let line = serde_json::to_string(tally).map_err(|e| at(path, &e))?;
+            writeln!(file, "{line}").map_err(|e| at(path, &e))?;
+        }
+    }
+    let groups = report::groups(tallies);
+    print(&report::table(&groups));
+    match &how.report {
+        Some(path) => write_page(name, path, &groups),
+        None => Ok(()),
+    }
+}
+
+fn write_page(title: &str, path: &Path, groups: &[(String, Vec<Tally>)]) -> Result<(), String> {
+    let page = report::html(title, groups).map_err(|why| why.to_string())?;
+    std::fs::write(path, page).map_err(|e| at(path, &e))?;
+    say(format!("written: {}", path.display()));
+    Ok(())
+}
--- a/crates/hillstall/src/main.rs
+++ b/crates/hillstall/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod demo;
 mod handover;
+mod lab;
 mod logs;
 mod operator;
 mod platform;
@@ -195,6 +196,7 @@
         }),
         Some(What::Check { files }) => commands::check(&files),
         Some(What::Config { what: cli::Config::Show { json } }) => commands::show(&set, json),
+        Some(What::Lab { what }) => commands::done(lab::run(what)),
         Some(What::Completions { shell }) => commands::completions(shell),
     })
 }
--- a/crates/hillstall/tests/proxy/commands.rs
+++ b/crates/hillstall/tests/proxy/commands.rs
@@ -136,6 +136,19 @@
     assert!(out(&hillstall(&["completions", "bash"])).contains("hillstall"));
 }
 
+#[test]
+fn experiments_print_a_table_and_wrong_scenarios_are_told() {
+    let files = Files::new("name = \"no scenario\"\nlenght = \"4s\"\n");
+    let run = hillstall(&["lab", "sweep", "one-hangs", "--vary", "load.of_capacity=0.3,0.4", "--seeds", "1"]);
+    assert_eq!(run.status.code(), Some(0), "{}", out(&run));
+    assert_eq!(out(&run).matches("| hillstall load.of_capacity=0.").count(), 2, "{}", out(&run));
+    let file = files.operator.to_str().expect("text");
+    for wrong in [&["lab", "run", file][..], &["lab", "run", "/nowhere"], &["lab", "report", "/nowhere"]] {
+        assert_eq!(hillstall(wrong).status.code(), Some(3), "{wrong:?}");
+    }
+    assert_eq!(hillstall(&["lab", "run", "--policy", "guess"]).status.code(), Some(2));
+}
+
 #[test]
 fn the_operator_file_of_the_repository_is_good_and_names_every_key() {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/hillstall.toml");
--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,148 @@
+//! Many runs of one question: over seeds, policies and parameters, on all cores, with the means held against chance.
+
+use crate::policy::Named;
+use crate::scenario::{Invalid, Scenario};
+use crate::sim::{self, Tally};
+use rayon::prelude::*;
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+/// Runs each policy with each seed; the order of the results is that of the arguments, whichever run ends first.
+/// `ended` is called after each run.
+pub fn runs(scenario: &Scenario, policies: &[Named], seeds: &[u64], ended: impl Fn() + Sync) -> Vec<Tally> {
+    let pairs: Vec<(Named, u64)> =
+        policies.iter().flat_map(|policy| seeds.iter().map(|seed| (*policy, *seed))).collect();
+    pairs
+        .into_par_iter()
+        .map(|(policy, seed)| {
+            let tally = sim::run(scenario, policy, seed);
+            ended();
+            tally
+        })
+        .collect()
+}
+
+/// A mean, and how far off it may be at 95% confidence.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Mean {
+    /// The mean.
+    pub mean: f64,
+    /// Half of the 95% interval by Student's t; infinite for one value.
+    pub half: f64,
+}
+
+impl Mean {
+    /// Of independent values.
+    pub fn of(values: &[f64]) -> Mean {
+        let count = values.len() as f64;
+        let mean = values.iter().sum::<f64>() / count.max(1.0);
+        if values.len() < 2 {
+            return Mean { mean, half: f64::INFINITY };
+        }
+        let variance = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>() / (count - 1.0);
+        let quantile = StudentsT::new(0.0, 1.0, count - 1.0).map_or(f64::INFINITY, |t| t.inverse_cdf(0.975));
+        Mean { mean, half: quantile * (variance / count).sqrt() }
+    }
+
+    /// Whether 0 lies outside of the interval.
+    pub fn is_apart(&self) -> bool {
+        self.mean.abs() > self.half
+    }
+}
+
+/// What `b` gains over `a`, seed by seed: the calls are the same, so that their chance cancels out.
+pub fn gain(a: &[Tally], b: &[Tally], figure: fn(&Tally) -> f64) -> Mean {
+    let differences: Vec<f64> = a.iter().zip(b).map(|(a, b)| figure(b) - figure(a)).collect();
+    Mean::of(&differences)
+}
+
+/// A key of a scenario and the values it takes in a sweep.
+#[derive(Clone, Debug)]
+pub struct Axis {
+    /// Its place, as in `load.of_capacity` or `tier.0.servers`.
+    pub key: String,
+    /// TOML values.
+    pub values: Vec<toml::Value>,
+}
+
+impl std::str::FromStr for Axis {
+    type Err = String;
+
+    /// Reads `KEY=VALUE,VALUE`; a value that is no TOML is taken as text.
+    fn from_str(text: &str) -> Result<Axis, String> {
+        let (key, values) =
+            text.split_once('=').ok_or_else(|| format!("{text}: KEY=VALUE,VALUE is wanted"))?;
+        let value = |text: &str| {
+            let parsed = format!("v = {text}").parse::<toml::Table>().ok().and_then(|mut t| t.remove("v"));
+            parsed.unwrap_or_else(|| toml::Value::String(text.to_string()))
+        };
+        Ok(Axis { key: key.to_string(), values: values.split(',').map(value).collect() })
+    }
+}
+
+/// Why a sweep can't be made.
+#[derive(Debug, thiserror::Error)]
+pub enum NoSweep {
+    /// A key leads nowhere.
+    #[error("{0}: the scenario has no such place")]
+    Key(String),
+    /// What comes out is no scenario.
+    #[error("with {cell}: {why}")]
+    Scenario {
+        /// The values.
+        cell: String,
+        /// What is wrong with it.
+        why: Invalid,
+    },
+    /// The file is no TOML.
+    #[error("{0}")]
+    Toml(#[from] toml::de::Error),
+}
+
+fn set(table: &mut toml::Value, key: &str, value: &toml::Value) -> Option<()> {
+    let mut place = table;
+    let mut parts = key.split('.').peekable();
+    while let Some(part) = parts.next() {
+        let last = parts.peek().is_none();
+        place = match place {
+            toml::Value::Array(list) => list.get_mut(part.parse::<usize>().ok()?)?,
+            toml::Value::Table(table) if last => {
+                table.insert(part.to_string(), value.clone());
+                return Some(());
+            }
+            // A table that has only defaults may be left out of the file.
+            toml::Value::Table(table) => {
+                table.entry(part.to_string()).or_insert_with(|| toml::Value::Table(toml::Table::new()))
+            }
+            _ => return None,
+        };
+    }
+    *place = value.clone();
+    Some(())
+}
+
+/// All scenarios of a grid, each with the text that tells its values.
+pub fn grid(text: &str, axes: &[Axis]) -> Result<Vec<(String, Scenario)>, NoSweep> {
+    let base: toml::Table = text.parse()?;
+    let mut cells = vec![(String::new(), toml::Value::Table(base))];
+    for axis in axes {
+        let mut next = Vec::new();
+        for (name, cell) in &cells {
+            for value in &axis.values {
+                let mut cell = cell.clone();
+                set(&mut cell, &axis.key, value).ok_or_else(|| NoSweep::Key(axis.key.clone()))?;
+                let space = if name.is_empty() { "" } else { " " };
+                next.push((format!("{name}{space}{}={value}", axis.key), cell));
+            }
+        }
+        cells = next;
+    }
+    (cells.into_iter())
+        .map(|(name, cell)| {
+            let text = toml::to_string(&cell).unwrap_or_default();
+            match Scenario::parse(&text) {
+                Ok(scenario) => Ok((name, scenario)),
+                Err(why) => Err(NoSweep::Scenario { cell: name, why }),
+            }
+        })
+        .collect()
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,10 +1,18 @@
-//! Stand-ins for what a proxy stands between, on loopback sockets: servers that answer at once, the service
-//! that lists them, a bare byte relay as the limit of what any proxy can do, and callers that measure.
-//! They are for measurements, rehearsals and a first look; none of them is part of the proxy.
+//! What a proxy stands between, in two forms that are for measurements, rehearsals and a first look, and no part of
+//! the proxy. On loopback sockets: servers that answer at once, the service that lists them, a bare byte relay as the
+//! limit of what any proxy can do, and callers that measure. In simulated time: servers that crowd, choke, hang and
+//! die, clients that try again, and experiments that hold policies against each other.
 
 pub mod callers;
 pub mod discovery;
+pub mod experiment;
+pub mod model;
+pub mod policy;
 pub mod relay;
+pub mod report;
+pub mod scenario;
+pub mod scenarios;
 pub mod servers;
+pub mod sim;
 pub mod site;
 pub mod stand;
--- /dev/null
+++ b/crates/lab/src/model/work.rs
@@ -0,0 +1,52 @@
+//! How much work a call makes, in milliseconds of one core at speed 1.
+
+use rand_distr::{Distribution, Exp1, LogNormal};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde::Deserialize;
+
+/// The shape of the work of a class's calls. All have the mean that the class states.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Shape {
+    /// Always the mean.
+    Fixed,
+    /// Exponential: coefficient of variation 1.
+    #[default]
+    Exp,
+    /// Log-normal, with the class's coefficient of variation.
+    Lognormal,
+}
+
+/// Draws the work of one call: `mean` in core milliseconds, `cv` the coefficient of variation (log-normal alone).
+pub fn draw(shape: Shape, mean: f64, cv: f64, rng: &mut Xoshiro256PlusPlus) -> f64 {
+    match shape {
+        Shape::Fixed => mean,
+        Shape::Exp => mean * Distribution::<f64>::sample(&Exp1, rng),
+        Shape::Lognormal => {
+            // With s^2 = ln(1 + cv^2) and m = ln(mean) - s^2 / 2, mean and cv are those asked for.
+            let variance = (1.0 + cv * cv).ln();
+            match LogNormal::new(mean.ln() - variance / 2.0, variance.sqrt()) {
+                Ok(normal) => normal.sample(rng),
+                Err(_) => mean,
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand_xoshiro::rand_core::SeedableRng;
+
+    #[test]
+    fn mean_and_variation_are_those_asked_for() {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(7);
+        for (shape, cv) in [(Shape::Fixed, 0.0), (Shape::Exp, 1.0), (Shape::Lognormal, 0.7)] {
+            let drawn: Vec<f64> = (0..100_000).map(|_| draw(shape, 80.0, cv, &mut rng)).collect();
+            let mean = drawn.iter().sum::<f64>() / drawn.len() as f64;
+            let variance = drawn.iter().map(|w| (w - mean).powi(2)).sum::<f64>() / drawn.len() as f64;
+            assert!((mean / 80.0 - 1.0).abs() < 0.02, "{shape:?}: mean {mean}");
+            assert!((variance.sqrt() / mean - cv).abs() < 0.03, "{shape:?}: cv {}", variance.sqrt() / mean);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/policy.rs
@@ -0,0 +1,213 @@
+//! Who decides about calls in an experiment: the decision module, or a textbook rule to hold it against.
+
+use hillstall_module::api::{
+    Action, BackendId, BackendInfo, BackendState, Event, ListKind, Millis, Outcome, RequestId, Settings,
+};
+use hillstall_module::Balancer;
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde::Deserialize;
+use std::collections::HashMap;
+
+/// The policies that can be held against each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Named {
+    /// The decision module, as the proxy runs it.
+    Hillstall,
+    /// Any ready server, by chance.
+    Random,
+    /// The ready servers in turn.
+    RoundRobin,
+    /// The ready server with the fewest calls of this proxy.
+    LeastOutstanding,
+    /// The less loaded of two ready servers drawn by chance.
+    TwoChoices,
+    /// The server that is least loaded in truth, by what it holds and can do at this moment: an upper bound for the
+    /// choice of a server, which no proxy can know. It turns nothing away.
+    Oracle,
+}
+
+impl Named {
+    /// All of them, in the order of tables.
+    pub const ALL: [Named; 6] = [
+        Named::Hillstall,
+        Named::Random,
+        Named::RoundRobin,
+        Named::LeastOutstanding,
+        Named::TwoChoices,
+        Named::Oracle,
+    ];
+
+    /// The name in tables and on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Named::Hillstall => "hillstall",
+            Named::Random => "random",
+            Named::RoundRobin => "round-robin",
+            Named::LeastOutstanding => "least-outstanding",
+            Named::TwoChoices => "two-choices",
+            Named::Oracle => "oracle",
+        }
+    }
+
+    /// A policy for one proxy.
+    pub fn start(self, settings: Settings, seed: u64) -> Box<dyn Policy> {
+        match self {
+            Named::Hillstall => Box::new(Module(Balancer::new(settings, seed))),
+            _ => Box::new(Textbook::new(self, &settings, seed)),
+        }
+    }
+}
+
+impl std::str::FromStr for Named {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Named, String> {
+        Named::ALL.into_iter().find(|n| n.name() == name).ok_or_else(|| {
+            let names = Named::ALL.map(Named::name).join(", ");
+            format!("no policy is called {name}; there are {names}")
+        })
+    }
+}
+
+/// What decides about the calls of one proxy.
+pub trait Policy {
+    /// Takes an event and appends what is to be done.
+    fn handle(&mut self, now: Millis, event: Event<'_>, actions: &mut Vec<Action>);
+
+    /// Whether it is to be shown the true load before each request.
+    fn sees(&self) -> bool {
+        false
+    }
+
+    /// The true load of each server: calls held over what it can do now; infinite for one that is down or silent.
+    fn show(&mut self, _truth: &[(BackendId, f64)]) {}
+}
+
+struct Module(Balancer);
+
+impl Policy for Module {
+    fn handle(&mut self, now: Millis, event: Event<'_>, actions: &mut Vec<Action>) {
+        self.0.handle(now, event, actions);
+    }
+}
+
+struct Open {
+    at: usize,
+    attempts: u32,
+    tried: Vec<BackendId>,
+}
+
+/// The textbook rules: a server by the rule, and another one at once where the first never ran the call.
+struct Textbook {
+    rule: Named,
+    rng: Xoshiro256PlusPlus,
+    servers: Vec<(BackendInfo, f64)>,
+    truth: HashMap<BackendId, f64>,
+    open: HashMap<RequestId, Open>,
+    turn: usize,
+    most_attempts: u32,
+}
+
+impl Textbook {
+    fn new(rule: Named, settings: &Settings, seed: u64) -> Textbook {
+        Textbook {
+            rule,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            servers: Vec::new(),
+            truth: HashMap::new(),
+            open: HashMap::new(),
+            turn: settings.rank as usize,
+            most_attempts: settings.allowed.max_attempts,
+        }
+    }
+
+    fn below(&mut self, bound: usize) -> usize {
+        ((u128::from(self.rng.next_u64()) * bound as u128) >> 64) as usize
+    }
+
+    fn pick(&mut self, tried: &[BackendId]) -> Option<usize> {
+        let ready = |s: &(BackendInfo, f64)| s.0.state == BackendState::Ready;
+        let mut able: Vec<usize> = (0..self.servers.len())
+            .filter(|&i| ready(&self.servers[i]) && !tried.contains(&self.servers[i].0.id))
+            .collect();
+        if able.is_empty() {
+            able = (0..self.servers.len()).filter(|&i| ready(&self.servers[i])).collect();
+        }
+        if able.is_empty() {
+            return None;
+        }
+        let out = |i: &usize| self.servers[*i].1;
+        let true_load = |i: &usize| self.truth.get(&self.servers[*i].0.id).copied().unwrap_or(f64::MAX);
+        match self.rule {
+            Named::RoundRobin => {
+                self.turn += 1;
+                Some(able[self.turn % able.len()])
+            }
+            Named::LeastOutstanding => able.iter().copied().min_by(|a, b| out(a).total_cmp(&out(b))),
+            Named::Oracle => able.iter().copied().min_by(|a, b| true_load(a).total_cmp(&true_load(b))),
+            Named::TwoChoices => {
+                let (a, b) = (able[self.below(able.len())], able[self.below(able.len())]);
+                Some(if self.servers[a].1 <= self.servers[b].1 { a } else { b })
+            }
+            Named::Random | Named::Hillstall => Some(able[self.below(able.len())]),
+        }
+    }
+
+    fn send(&mut self, id: RequestId, attempts: u32, tried: Vec<BackendId>, actions: &mut Vec<Action>) {
+        let picked = if attempts < self.most_attempts { self.pick(&tried) } else { None };
+        let Some(at) = picked else {
+            return actions.push(Action::Refuse { request: id, retry_after_ms: 0.0 });
+        };
+        self.servers[at].1 += 1.0;
+        let backend = self.servers[at].0.id;
+        let mut tried = tried;
+        tried.push(backend);
+        self.open.insert(id, Open { at, attempts: attempts + 1, tried });
+        actions.push(Action::Send { request: id, backend, timeout_ms: 0.0 });
+    }
+
+    fn on_list(&mut self, kind: ListKind, list: &[BackendInfo]) {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            self.servers.iter_mut().for_each(|s| s.0.state = BackendState::Gone);
+        }
+        // Places stay, as open calls name them.
+        for info in list {
+            match self.servers.iter_mut().find(|s| s.0.id == info.id) {
+                Some(known) => known.0 = *info,
+                None => self.servers.push((*info, 0.0)),
+            }
+        }
+    }
+}
+
+impl Policy for Textbook {
+    fn handle(&mut self, _now: Millis, event: Event<'_>, actions: &mut Vec<Action>) {
+        match event {
+            Event::BackendsChanged { kind: ListKind::Failed, .. } => {}
+            Event::BackendsChanged { kind, backends, .. } => self.on_list(kind, backends),
+            Event::Request { id, .. } => self.send(id, 0, Vec::new(), actions),
+            Event::Outcome { request, outcome, ended, .. } => {
+                let Some(open) = self.open.remove(&request) else { return };
+                self.servers[open.at].1 = (self.servers[open.at].1 - 1.0).max(0.0);
+                if ended {
+                } else if outcome.never_ran() && outcome != Outcome::Moot {
+                    self.send(request, open.attempts, open.tried, actions);
+                } else {
+                    actions.push(Action::Fail { request });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn sees(&self) -> bool {
+        self.rule == Named::Oracle
+    }
+
+    fn show(&mut self, truth: &[(BackendId, f64)]) {
+        self.truth.clear();
+        self.truth.extend(truth.iter().copied());
+    }
+}
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,155 @@
+//! What people look at: a table for the terminal, and one HTML file with its plots inside.
+
+use crate::experiment::Mean;
+use crate::sim::{Second, Tally};
+use plotters::prelude::*;
+use std::fmt::Write;
+
+/// Why a report can't be drawn.
+#[derive(Debug, thiserror::Error)]
+#[error("plot: {0}")]
+pub struct NoPlot(String);
+
+type Figure = (&'static str, fn(&Tally) -> f64, usize);
+
+/// The columns: heading, figure, decimals.
+const COLUMNS: [Figure; 10] = [
+    ("service", |t| 100.0 * t.service, 2),
+    ("worst 10 s", |t| 100.0 * t.worst, 1),
+    ("late %", |t| 100.0 * t.late, 2),
+    ("refused %", |t| 100.0 * t.refused, 2),
+    ("failed %", |t| 100.0 * t.failed, 2),
+    ("p50 ms", |t| t.p50_ms, 1),
+    ("p99 ms", |t| t.p99_ms, 0),
+    ("tries", |t| t.tries, 2),
+    ("attempts", |t| t.attempts, 2),
+    ("choked", |t| t.chokes as f64, 1),
+];
+
+/// Runs by their groups, in the order of their first runs.
+pub fn groups(runs: Vec<Tally>) -> Vec<(String, Vec<Tally>)> {
+    let mut groups: Vec<(String, Vec<Tally>)> = Vec::new();
+    for run in runs {
+        let name = run.group();
+        match groups.iter_mut().find(|(group, _)| *group == name) {
+            Some((_, runs)) => runs.push(run),
+            None => groups.push((name, vec![run])),
+        }
+    }
+    groups
+}
+
+/// A table with one line for each group of runs: means over the seeds, for the service with its 95% interval.
+pub fn table(groups: &[(String, Vec<Tally>)]) -> String {
+    let mut out = String::from("| runs | seeds | ");
+    out.push_str(&COLUMNS.map(|c| c.0).join(" | "));
+    out.push_str(" | broken rules |\n| --- |");
+    out.push_str(&" ---: |".repeat(COLUMNS.len() + 2));
+    out.push('\n');
+    for (name, runs) in groups {
+        let _ = write!(out, "| {name} | {} |", runs.len());
+        for (i, (_, figure, decimals)) in COLUMNS.iter().enumerate() {
+            let mean = Mean::of(&runs.iter().map(figure).collect::<Vec<_>>());
+            let _ = match i == 0 && mean.half.is_finite() {
+                true => write!(out, " {:.decimals$} ± {:.decimals$} |", mean.mean, mean.half),
+                false => write!(out, " {:.decimals$} |", mean.mean),
+            };
+        }
+        let broken: u64 = runs.iter().map(|t| t.late_sends + t.wrong_answers).sum();
+        let _ = writeln!(out, " {broken} |");
+    }
+    out
+}
+
+/// One curve: its name, and a value for each second.
+type Curve = (String, Vec<f64>);
+
+fn plot(title: &str, unit: &str, curves: &[Curve]) -> Result<String, NoPlot> {
+    let wrong = |why: &dyn std::fmt::Display| NoPlot(why.to_string());
+    let seconds = curves.iter().map(|c| c.1.len()).max().unwrap_or(1).max(1);
+    let most = curves.iter().flat_map(|c| c.1.iter()).copied().fold(0.0, f64::max).max(1e-9) * 1.05;
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, (860, 260)).into_drawing_area();
+        let mut chart = ChartBuilder::on(&root)
+            .caption(title, ("sans-serif", 16))
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..seconds as f64, 0.0..most)
+            .map_err(|e| wrong(&e))?;
+        let mut mesh = chart.configure_mesh();
+        mesh.x_desc("s").y_desc(unit).draw().map_err(|e| wrong(&e))?;
+        for (i, (name, values)) in curves.iter().enumerate() {
+            let color = Palette99::pick(i).to_rgba();
+            let points = values.iter().enumerate().map(|(s, v)| (s as f64 + 0.5, *v));
+            let series = LineSeries::new(points, color.stroke_width(2));
+            let line = chart.draw_series(series).map_err(|e| wrong(&e))?;
+            line.label(name.as_str())
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
+        }
+        let mut labels = chart.configure_series_labels();
+        labels.background_style(WHITE.mix(0.8)).draw().map_err(|e| wrong(&e))?;
+        root.present().map_err(|e| wrong(&e))?;
+    }
+    Ok(svg)
+}
+
+/// The mean over runs, second by second.
+fn curve(runs: &[Tally], figure: impl Fn(&Second) -> f64) -> Vec<f64> {
+    let seconds = runs.iter().map(|t| t.seconds.len()).min().unwrap_or(0);
+    let mean = |s: usize| runs.iter().map(|t| figure(&t.seconds[s])).sum::<f64>() / runs.len().max(1) as f64;
+    (0..seconds).map(mean).collect()
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// One self-contained page: the table, and plots over time of the groups.
+pub fn html(title: &str, groups: &[(String, Vec<Tally>)]) -> Result<String, NoPlot> {
+    let of = |figure: fn(&Second) -> f64| -> Vec<Curve> {
+        groups.iter().map(|(name, runs)| (name.clone(), curve(runs, figure))).collect()
+    };
+    let share = |part: f64, whole: f64| if whole > 0.0 { 100.0 * part / whole } else { 100.0 };
+    let mut plots = vec![
+        plot(
+            "Service: worth within the aim",
+            "%",
+            &of(|s| if s.worth > 0.0 { 100.0 * s.earned / s.worth } else { 100.0 }),
+        )?,
+        plot("Latency, 99th percentile, from the intended start", "ms", &of(|s| s.p99_ms))?,
+        plot("Turned away, after all tries", "calls/s", &of(|s| s.refused as f64))?,
+        plot(
+            "Attempts for each first try, first tier",
+            "",
+            &of(|s| s.attempts as f64 / (s.offered as f64).max(1.0)),
+        )?,
+        plot("Machines slower since they were crowded", "machines", &of(|s| s.choked as f64))?,
+    ];
+    if let Some((name, runs)) = groups.first() {
+        let offered = curve(runs, |s| s.offered as f64);
+        let peak = offered.iter().copied().fold(1.0, f64::max);
+        let load = offered.iter().map(|v| share(*v, peak)).collect();
+        let able = curve(runs, |s| 100.0 * s.capacity);
+        let curves =
+            [(format!("what the first tier can do ({name})"), able), ("load, of its peak".into(), load)];
+        plots.push(plot("Capacity against load", "%", &curves)?);
+    }
+    let mut rows = String::new();
+    for (i, line) in table(groups).lines().enumerate().filter(|(i, _)| *i != 1) {
+        let tag = if i == 0 { "th" } else { "td" };
+        let cells: String = (line.trim_matches('|').split('|'))
+            .map(|cell| format!("<{tag}>{}</{tag}>", escape(cell.trim())))
+            .collect();
+        let _ = writeln!(rows, "<tr>{cells}</tr>");
+    }
+    let title = escape(title);
+    let plots = plots.join("\n");
+    Ok(format!(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{title}</title>\n\
+         <style>body{{font:14px sans-serif;margin:2em}}td,th{{padding:2px 10px;text-align:right}}\
+         td:first-child{{text-align:left}}svg{{display:block;margin:1em 0}}</style>\n\
+         <h1>{title}</h1>\n<table>\n{rows}</table>\n{plots}\n</html>\n"
+    ))
+}
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,433 @@
+//! An experiment as a TOML file: tiers, load, clients, discovery, and what goes wrong when. Any time or number may
+//! be a range `[low, high]`, of which each seed draws one value. Unknown keys and bad values are told with the line.
+
+use crate::model::machine::{Choke, Kind};
+use crate::model::work::Shape;
+use rand_xoshiro::rand_core::RngCore;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde::{Deserialize, Deserializer};
+
+/// Why a file is no scenario.
+#[derive(Debug, thiserror::Error)]
+pub enum Invalid {
+    /// TOML, a key or a value is wrong; the text names line, column and key.
+    #[error("{0}")]
+    Form(#[from] toml::de::Error),
+    /// Each value is fine, but not together.
+    #[error("{key}: {why}")]
+    Sense {
+        /// Where.
+        key: String,
+        /// What is wrong.
+        why: String,
+    },
+}
+
+/// A number, or a range of which each seed draws one. Negative numbers are refused.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Number {
+    low: f64,
+    high: f64,
+}
+
+impl Number {
+    /// One value for all seeds.
+    pub const fn of(value: f64) -> Number {
+        Number { low: value, high: value }
+    }
+
+    /// The value of a run.
+    pub fn draw(self, rng: &mut Xoshiro256PlusPlus) -> f64 {
+        let part = (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+        self.low + (self.high - self.low) * part
+    }
+}
+
+fn range<E: serde::de::Error>(low: f64, high: f64) -> Result<Number, E> {
+    if !(low.is_finite() && high.is_finite() && 0.0 <= low && low <= high) {
+        return Err(E::custom(format!("{low} to {high} is no range of numbers from 0 up")));
+    }
+    Ok(Number { low, high })
+}
+
+impl<'de> Deserialize<'de> for Number {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Number, D::Error> {
+        #[derive(Deserialize)]
+        #[serde(untagged, expecting = "expected a number or [low, high]")]
+        enum Form {
+            One(f64),
+            Whole(u32),
+            Range([f64; 2]),
+        }
+        match Form::deserialize(from)? {
+            Form::One(value) => range(value, value),
+            Form::Whole(value) => range(value.into(), value.into()),
+            Form::Range([low, high]) => range(low, high),
+        }
+    }
+}
+
+/// A time such as `"250ms"`, or a range of times; drawn in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Span(pub Number);
+
+impl Span {
+    /// One time for all seeds, in milliseconds.
+    pub const fn ms(value: f64) -> Span {
+        Span(Number::of(value))
+    }
+}
+
+impl<'de> Deserialize<'de> for Span {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Span, D::Error> {
+        #[derive(Deserialize)]
+        #[serde(untagged, expecting = "expected a time such as \"250ms\" or [\"1s\", \"2s\"]")]
+        enum Form {
+            One(String),
+            Range([String; 2]),
+        }
+        let ms = |text: &str| match humantime::parse_duration(text) {
+            Ok(time) => Ok(time.as_secs_f64() * 1e3),
+            Err(why) => Err(serde::de::Error::custom(format!("{text:?} is no time: {why}"))),
+        };
+        match Form::deserialize(from)? {
+            Form::One(text) => ms(&text).and_then(|at| range(at, at)).map(Span),
+            Form::Range([low, high]) => range(ms(&low)?, ms(&high)?).map(Span),
+        }
+    }
+}
+
+fn one() -> Number {
+    Number::of(1.0)
+}
+
+fn warm() -> Span {
+    Span::ms(0.0)
+}
+
+fn far() -> Number {
+    Number::of(1e9)
+}
+
+/// A slowdown that outlasts the crowd that caused it; see [`Choke`].
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Choking {
+    at: Number,
+    over: Span,
+    slower: Number,
+    below: Number,
+    rest: Span,
+    most: Span,
+}
+
+/// A tier of equal machines.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tier {
+    /// For people.
+    pub name: String,
+    /// Machines.
+    pub servers: Number,
+    /// Cores of each.
+    #[serde(default = "one")]
+    pub cores: Number,
+    /// Core milliseconds that a core does in a millisecond.
+    #[serde(default = "one")]
+    pub speed: Number,
+    /// Calls that a machine takes up at once, for each core.
+    #[serde(default = "far")]
+    pub slots_per_core: Number,
+    /// Calls that wait for a slot, for each core.
+    #[serde(default = "far")]
+    pub room_per_core: Number,
+    /// Calls held for each core above which a machine gets slower ...
+    #[serde(default = "far")]
+    pub thrash_at: Number,
+    /// ... and the part of its speed left then.
+    #[serde(default = "one")]
+    pub thrash_to: Number,
+    /// The part of its speed that a fresh machine has ...
+    #[serde(default = "one")]
+    pub cold_from: Number,
+    /// ... and the time until it has all.
+    #[serde(default = "warm")]
+    pub cold: Span,
+    /// The slowdown that outlasts its cause.
+    pub choke: Option<Choking>,
+    /// This tier's part of a call's work; the rest falls to the tiers below.
+    #[serde(default = "one")]
+    pub work_part: Number,
+    /// Calls to the next tier for each call, on average, one after another.
+    #[serde(default = "one")]
+    pub calls: Number,
+}
+
+impl Tier {
+    /// One machine's figures, and how many there are.
+    pub fn draw(&self, rng: &mut Xoshiro256PlusPlus) -> (usize, Kind) {
+        let servers = self.servers.draw(rng).round().max(1.0) as usize;
+        let cores = self.cores.draw(rng).round().max(1.0);
+        let choke = self.choke.map(|c| Choke {
+            at: c.at.draw(rng),
+            over: c.over.0.draw(rng),
+            slower: c.slower.draw(rng).max(1.0),
+            below: c.below.draw(rng),
+            rest: c.rest.0.draw(rng),
+            most: c.most.0.draw(rng),
+        });
+        let kind = Kind {
+            cores: cores as usize,
+            speed: self.speed.draw(rng).max(1e-3),
+            slots: (self.slots_per_core.draw(rng) * cores).round().max(1.0) as usize,
+            room: (self.room_per_core.draw(rng) * cores).round() as usize,
+            thrash_at: self.thrash_at.draw(rng),
+            thrash_to: self.thrash_to.draw(rng).clamp(1e-3, 1.0),
+            cold_from: self.cold_from.draw(rng).clamp(1e-3, 1.0),
+            cold: self.cold.0.draw(rng),
+            choke,
+        };
+        (servers, kind)
+    }
+}
+
+/// Whether a class's calls may run again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Repeats {
+    /// At any time.
+    #[default]
+    Safe,
+    /// With a key that all servers of the tier know for 2.5 s.
+    Keyed,
+    /// Never.
+    Once,
+}
+
+/// A class of calls.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// For people.
+    pub name: String,
+    /// Its part of the calls, against the other classes' parts.
+    #[serde(default = "one")]
+    pub share: Number,
+    /// Mean work of a call over all tiers.
+    pub work: Span,
+    /// How the work is spread.
+    #[serde(default)]
+    pub shape: Shape,
+    /// Coefficient of variation, for `lognormal`.
+    #[serde(default = "one")]
+    pub cv: Number,
+    /// An answer within this time earns the worth.
+    pub aim: Span,
+    /// How long a client waits in all.
+    pub deadline: Span,
+    /// Worth of a call.
+    #[serde(default = "one")]
+    pub worth: Number,
+    /// May it run again?
+    #[serde(default)]
+    pub repeats: Repeats,
+}
+
+/// How many calls come, and when. Arrivals wait for nothing (open loop) and are a Poisson process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// First tries a second.
+    pub rate: Option<Number>,
+    /// Instead of `rate`: the part of what the first tier's machines can do.
+    pub of_capacity: Option<Number>,
+    /// How much the rate swings about its mean, as a part of it.
+    #[serde(default = "none")]
+    pub swing: Number,
+    /// The time of one swing.
+    #[serde(default = "swing_time")]
+    pub period: Span,
+}
+
+fn none() -> Number {
+    Number::of(0.0)
+}
+
+fn swing_time() -> Span {
+    Span::ms(20_000.0)
+}
+
+/// What clients do beside asking.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Clients {
+    /// Tries after the first.
+    pub retries: Number,
+    /// Wait before each.
+    pub wait: Span,
+    /// The part of the deadline after which a try is given up.
+    pub try_part: Number,
+    /// The part of clients that follow a stated wait.
+    pub honour: Number,
+}
+
+impl Default for Clients {
+    fn default() -> Clients {
+        Clients {
+            retries: Number::of(0.0),
+            wait: Span::ms(0.0),
+            try_part: Number::of(1.0),
+            honour: Number::of(1.0),
+        }
+    }
+}
+
+/// One-way times.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Net {
+    /// Within a zone.
+    pub same_zone: Span,
+    /// Between zones.
+    pub cross_zone: Span,
+    /// Between a client and a proxy.
+    pub client: Span,
+}
+
+impl Default for Net {
+    fn default() -> Net {
+        Net { same_zone: Span::ms(0.2), cross_zone: Span::ms(0.4), client: Span::ms(0.8) }
+    }
+}
+
+/// How late the list of servers is.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Discovery {
+    /// Until the proxies know of a drain, a death or a start.
+    pub notice: Span,
+}
+
+impl Default for Discovery {
+    fn default() -> Discovery {
+        Discovery { notice: Span::ms(1_500.0) }
+    }
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// All machines of a zone are silent, and come back cold; its proxies answer nothing meanwhile.
+    LoseZone,
+    /// A part of a tier's machines die (connections are reset) and start again cold.
+    Crash,
+    /// A part of a tier's machines are silent for a while and then go on.
+    Hang,
+    /// Something they share makes all machines of a tier so many times slower.
+    Slow,
+    /// So many times the usual load.
+    Burst,
+    /// A part of a tier's machines, one after another: drain, stop, start again cold.
+    Release,
+    /// The list of servers tells nothing new.
+    DiscoveryDown,
+}
+
+/// A failure at a time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Failure {
+    /// When.
+    pub at: Span,
+    /// What.
+    pub what: What,
+    /// For how long.
+    #[serde(rename = "for")]
+    pub lasts: Span,
+    /// Which zone, from 0.
+    #[serde(default)]
+    pub zone: usize,
+    /// Which tier, from 0 at the top.
+    #[serde(default)]
+    pub tier: usize,
+    /// The part of the machines; at least one.
+    #[serde(default = "one")]
+    pub part: Number,
+    /// How many times slower, or how many times the load.
+    #[serde(default = "one")]
+    pub times: Number,
+}
+
+fn zones() -> usize {
+    1
+}
+
+/// An experiment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// For people.
+    pub name: String,
+    /// How long calls come; the run ends when all are answered.
+    pub length: Span,
+    /// Zones; machines and proxies are dealt out to them in turn.
+    #[serde(default = "zones")]
+    pub zones: usize,
+    /// Proxies before the first tier.
+    pub proxies: Number,
+    /// The tiers, from the top. Each machine has a proxy of its own to the next.
+    #[serde(rename = "tier")]
+    pub tiers: Vec<Tier>,
+    /// The classes.
+    #[serde(rename = "class")]
+    pub classes: Vec<Class>,
+    /// The load.
+    pub load: Load,
+    /// The clients.
+    #[serde(default)]
+    pub clients: Clients,
+    /// The network.
+    #[serde(default)]
+    pub net: Net,
+    /// The list.
+    #[serde(default)]
+    pub discovery: Discovery,
+    /// What goes wrong.
+    #[serde(rename = "failure", default)]
+    pub failures: Vec<Failure>,
+}
+
+impl Scenario {
+    /// Reads a scenario.
+    pub fn parse(text: &str) -> Result<Scenario, Invalid> {
+        let scenario: Scenario = toml::from_str(text)?;
+        scenario.check()?;
+        Ok(scenario)
+    }
+
+    fn check(&self) -> Result<(), Invalid> {
+        let wrong = |key: String, why: &str| Err(Invalid::Sense { key, why: why.to_string() });
+        if self.tiers.is_empty() {
+            return wrong("tier".into(), "at least one is needed");
+        }
+        if self.classes.is_empty() || self.classes.len() > 200 {
+            return wrong("class".into(), "1 to 200 are needed");
+        }
+        if !(1..=64).contains(&self.zones) {
+            return wrong("zones".into(), "1 to 64 are possible");
+        }
+        if self.load.rate.is_some() == self.load.of_capacity.is_some() {
+            return wrong("load".into(), "give either rate or of_capacity");
+        }
+        for (i, failure) in self.failures.iter().enumerate() {
+            if failure.tier >= self.tiers.len() {
+                return wrong(format!("failure[{i}].tier"), "there is no such tier");
+            }
+            if failure.zone >= self.zones {
+                return wrong(format!("failure[{i}].zone"), "there is no such zone");
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scenarios.rs
@@ -0,0 +1,25 @@
+//! Scenarios that come with the program.
+
+use crate::scenario::{Invalid, Scenario};
+
+const ALL: [(&str, &str); 2] = [
+    ("lose-hall", include_str!("../scenarios/lose-hall.toml")),
+    ("one-hangs", include_str!("../scenarios/one-hangs.toml")),
+];
+
+/// Their names.
+pub fn names() -> impl Iterator<Item = &'static str> {
+    ALL.iter().map(|(name, _)| *name)
+}
+
+/// The text of one.
+pub fn text(name: &str) -> Option<&'static str> {
+    ALL.iter().find(|(known, _)| *known == name).map(|(_, text)| *text)
+}
+
+/// Text and scenario of one. An error would be a fault of this package: the tests read them all.
+pub fn find(name: &str) -> Result<(&'static str, Scenario), Invalid> {
+    let text =
+        text(name).ok_or_else(|| Invalid::Sense { key: name.into(), why: "no such scenario".into() })?;
+    Ok((text, Scenario::parse(text)?))
+}
--- /dev/null
+++ b/crates/lab/src/sim/clients.rs
@@ -0,0 +1,158 @@
+//! The clients: an open loop. A call is to start when the arrival process says so, whatever became of the others.
+
+use super::queue::{End, Happening};
+use super::{part, Call, Caller, Ended, World};
+use crate::model::work;
+use hillstall_module::api::Event;
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+impl World {
+    /// A Poisson process whose rate changes: drawn at the highest rate, and thinned.
+    pub(super) fn arrive(&mut self) {
+        let most_burst = self.figures.failures.iter().map(|f| f.times).fold(1.0, f64::max);
+        let most = self.figures.rate * (1.0 + self.figures.swing) * most_burst / 1e3;
+        if most <= 0.0 || self.now > self.figures.length {
+            return;
+        }
+        if self.now > 0.0 {
+            let turn = self.now / self.figures.period * std::f64::consts::TAU;
+            let rate = self.figures.rate * (1.0 + self.figures.swing * turn.sin()) * self.burst / 1e3;
+            // Drawn in any case, so that the stream is the same for all policies and bursts.
+            let (keep, class, zone) =
+                (part(&mut self.arrivals), part(&mut self.arrivals), part(&mut self.arrivals));
+            // Shapes take different counts of draws, so each call's work has a stream of its own.
+            let size = Xoshiro256PlusPlus::seed_from_u64(self.arrivals.next_u64());
+            if keep * most < rate {
+                self.call(class, size, zone);
+            }
+        }
+        let gap = -(1.0 - part(&mut self.arrivals)).ln() / most;
+        self.queue.put(self.now + gap, Happening::Arrival);
+    }
+
+    fn call(&mut self, class: f64, mut size: Xoshiro256PlusPlus, zone: f64) {
+        let classes = &self.figures.classes;
+        let mut left = class * classes.iter().map(|c| c.share).sum::<f64>();
+        let mut class = 0;
+        while class + 1 < classes.len() && left >= classes[class].share {
+            left -= classes[class].share;
+            class += 1;
+        }
+        let of = &classes[class];
+        let work = work::draw(of.shape, of.work, of.cv, &mut size);
+        let worth = of.worth * work / of.work.max(1e-9);
+        self.tally.asked(self.now, worth);
+        self.calls.push(Call {
+            class,
+            work,
+            first_at: self.now,
+            deadline_at: self.now + of.deadline,
+            zone: (zone * self.figures.zones as f64) as usize,
+            no: 0,
+            ask: None,
+            closed: false,
+        });
+        self.make_try(self.calls.len() - 1);
+    }
+
+    fn make_try(&mut self, call: usize) {
+        let no = self.calls[call].no;
+        self.tally.tried(self.now);
+        self.queue.put(self.now + self.figures.client, Happening::Try { call, no });
+        let patience = self.figures.try_part * self.figures.classes[self.calls[call].class].deadline;
+        let over = (self.now + patience).min(self.calls[call].deadline_at);
+        self.queue.put(over, Happening::TryOver { call, no });
+    }
+
+    /// A try comes to a proxy of its hall, or of another where that has none.
+    pub(super) fn try_at_proxy(&mut self, call: usize, no: u32) {
+        let of = &self.calls[call];
+        if of.closed || of.no != no {
+            return;
+        }
+        let (class, work, zone, deadline) = (of.class, of.work, of.zone, of.deadline_at);
+        let alive = |p: &&usize| self.proxies[**p].alive;
+        let near: Vec<usize> = (self.before[0].iter().filter(alive))
+            .filter(|p| self.proxies[**p].zone == zone)
+            .copied()
+            .collect();
+        let able =
+            if near.is_empty() { self.before[0].iter().filter(alive).copied().collect() } else { near };
+        if able.is_empty() {
+            return;
+        }
+        let proxy = able[(part(&mut self.network) * able.len() as f64) as usize];
+        let patience = self.figures.try_part * self.figures.classes[class].deadline;
+        // What is left when the answer must set out.
+        let ttl = patience.min(deadline - self.now + self.figures.client) - 2.0 * self.figures.client;
+        self.calls[call].ask = Some(self.asks.len());
+        self.ask(proxy, Caller::Client { call, no }, class, work, ttl.max(0.0));
+    }
+
+    /// The client has waited long enough for this try.
+    pub(super) fn try_over(&mut self, call: usize, no: u32) {
+        if self.calls[call].closed || self.calls[call].no != no {
+            return;
+        }
+        if let Some(ask) = self.calls[call].ask {
+            self.leave(ask);
+        }
+        self.next_try(call, Ended::Failed, 0.0);
+    }
+
+    /// Whoever asked has gone: nothing more is owed.
+    pub(super) fn leave(&mut self, ask: usize) {
+        let of = &mut self.asks[ask];
+        if of.answered || of.gone {
+            return;
+        }
+        of.gone = true;
+        let proxy = of.proxy;
+        if self.proxies[proxy].alive {
+            self.tell(proxy, Event::ClientGone { request: ask as u64 });
+        }
+    }
+
+    pub(super) fn final_at_client(&mut self, call: usize, no: u32, end: End, come_back: f64) {
+        if self.calls[call].closed || self.calls[call].no != no {
+            return;
+        }
+        match end {
+            End::Served => {
+                let of = &mut self.calls[call];
+                of.closed = true;
+                let latency_ms = self.now - of.first_at;
+                let (first_at, class) = (of.first_at, &self.figures.classes[of.class]);
+                let worth = class.worth * of.work / class.work.max(1e-9);
+                let in_aim = latency_ms <= class.aim;
+                self.tally.ended(first_at, worth, Ended::Answered { latency_ms, in_aim });
+            }
+            End::Refused => self.next_try(call, Ended::Refused, come_back),
+            End::Failed => self.next_try(call, Ended::Failed, 0.0),
+        }
+    }
+
+    fn next_try(&mut self, call: usize, ended: Ended, come_back: f64) {
+        let follows = come_back > 0.0 && part(&mut self.network) < self.figures.honour;
+        let wait = if follows { come_back.max(self.figures.wait) } else { self.figures.wait };
+        let of = &mut self.calls[call];
+        of.no += 1;
+        of.ask = None;
+        if of.no > self.figures.retries || self.now + wait >= of.deadline_at {
+            of.closed = true;
+            let first_at = of.first_at;
+            return self.tally.ended(first_at, 0.0, ended);
+        }
+        if wait <= 0.0 {
+            return self.make_try(call);
+        }
+        let no = of.no;
+        // The wait is part of the try's way; its patience counts from when it sets out.
+        let deadline = of.deadline_at;
+        let patience = self.figures.try_part * self.figures.classes[of.class].deadline;
+        self.tally.tried(self.now + wait);
+        self.queue.put(self.now + wait + self.figures.client, Happening::Try { call, no });
+        self.queue.put((self.now + wait + patience).min(deadline), Happening::TryOver { call, no });
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/failures.rs
@@ -0,0 +1,150 @@
+//! What goes wrong, and what the proxies learn of it.
+
+use super::queue::{Happening, Step};
+use super::World;
+use crate::scenario::What;
+use hillstall_module::api::{BackendInfo, BackendState, Event, ListKind};
+
+/// How long a drained machine takes to start again.
+const RESTART_MS: f64 = 500.0;
+
+impl World {
+    /// The machines of a tier that a failure is about: a part of them, from the first on, and at least one.
+    fn meant(&self, index: usize) -> Vec<usize> {
+        let failure = &self.figures.failures[index];
+        let all = &self.tiers[failure.tier];
+        let count = ((failure.part * all.len() as f64).round() as usize).clamp(1, all.len());
+        all[..count].to_vec()
+    }
+
+    pub(super) fn failure(&mut self, index: usize, begins: bool) {
+        let failure = &self.figures.failures[index];
+        let (what, zone, times) = (failure.what, failure.zone, failure.times);
+        match what {
+            What::Burst => self.burst = if begins { times } else { 1.0 },
+            What::DiscoveryDown => {
+                self.discovery_down = begins;
+                if !begins {
+                    for machine in std::mem::take(&mut self.untold) {
+                        self.told(machine);
+                    }
+                }
+            }
+            What::Slow => {
+                for machine in self.tiers[failure.tier].clone() {
+                    let times = if begins { times.max(1e-3) } else { 1.0 };
+                    self.hosts[machine].machine.slow(self.now, times, &mut self.done);
+                    self.worked(machine);
+                }
+            }
+            What::Hang => {
+                for machine in self.meant(index) {
+                    self.hosts[machine].machine.hang(self.now, begins, &mut self.done);
+                    self.worked(machine);
+                }
+            }
+            What::Crash => {
+                for machine in self.meant(index) {
+                    if begins {
+                        self.die(machine, true)
+                    } else {
+                        self.revive(machine)
+                    }
+                }
+            }
+            What::LoseZone => {
+                let machines: Vec<usize> =
+                    (0..self.hosts.len()).filter(|h| self.hosts[*h].zone == zone).collect();
+                for machine in machines {
+                    if begins {
+                        self.die(machine, false)
+                    } else {
+                        self.revive(machine)
+                    }
+                    self.hosts[machine].lost = begins;
+                }
+                for proxy in 0..self.proxies.len() {
+                    if self.proxies[proxy].zone == zone && self.proxies[proxy].tier == 0 {
+                        self.proxies[proxy].alive = !begins;
+                        if begins {
+                            self.abandon(proxy);
+                        }
+                    }
+                }
+            }
+            What::Release if begins => {
+                let machines = self.meant(index);
+                let each = self.figures.failures[index].lasts / machines.len() as f64;
+                for (i, machine) in machines.into_iter().enumerate() {
+                    let at = self.now + i as f64 * each;
+                    self.queue.put(at, Happening::Release { machine, step: Step::Drain });
+                    self.queue.put(at + 0.8 * each, Happening::Release { machine, step: Step::Stop });
+                }
+            }
+            What::Release => {}
+        }
+    }
+
+    /// A proxy is gone: what it held is lost to its callers, who find out by waiting.
+    fn abandon(&mut self, proxy: usize) {
+        for ask in self.asks.iter_mut().filter(|a| a.proxy == proxy && !a.answered) {
+            ask.gone = true;
+        }
+    }
+
+    fn die(&mut self, machine: usize, reset: bool) {
+        let mut done = Vec::new();
+        self.hosts[machine].machine.kill(self.now, &mut done);
+        // What ended in this very moment is lost with the rest.
+        done.clear();
+        self.hosts[machine].life += 1;
+        self.hosts[machine].stamp += 1;
+        self.lose_held(machine, reset);
+        self.changed(machine, BackendState::Gone);
+    }
+
+    fn revive(&mut self, machine: usize) {
+        self.hosts[machine].machine.start(self.now);
+        self.hosts[machine].started_at = Some(self.now);
+        self.changed(machine, BackendState::Ready);
+    }
+
+    pub(super) fn release_step(&mut self, machine: usize, step: Step) {
+        match step {
+            Step::Drain if self.is_ready(machine) => self.changed(machine, BackendState::Draining),
+            Step::Drain => {}
+            // A machine that something else took down meanwhile is not started again here.
+            Step::Stop if self.hosts[machine].state == BackendState::Draining => {
+                self.die(machine, true);
+                let at = self.now + RESTART_MS;
+                self.queue.put(at, Happening::Release { machine, step: Step::Start });
+            }
+            Step::Stop => {}
+            Step::Start => {
+                if !self.hosts[machine].lost {
+                    self.revive(machine);
+                }
+            }
+        }
+    }
+
+    /// The list changes; the proxies are told after a while.
+    fn changed(&mut self, machine: usize, state: BackendState) {
+        self.hosts[machine].state = state;
+        self.queue.put(self.now + self.figures.notice, Happening::Told { machine });
+    }
+
+    pub(super) fn told(&mut self, machine: usize) {
+        if self.discovery_down {
+            return self.untold.push(machine);
+        }
+        let list: [BackendInfo; 1] = [self.info(machine)];
+        let away = list[0].state != BackendState::Ready;
+        let host = &mut self.hosts[machine];
+        host.told_away = if away { Some(host.told_away.unwrap_or(self.now)) } else { None };
+        for proxy in self.before[self.hosts[machine].tier].clone() {
+            let told = Event::BackendsChanged { kind: ListKind::Delta, version: 0, backends: &list };
+            self.tell(proxy, told);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/mod.rs
@@ -0,0 +1,294 @@
+//! A scenario in simulated time: clients, proxies that run a policy, machines, and what goes wrong. One seed and one
+//! policy give one run, to the byte.
+
+mod attempts;
+mod clients;
+mod failures;
+mod queue;
+mod setup;
+mod tally;
+
+pub use tally::{Ended, Second, Tally};
+
+use crate::model::machine::{Job, Machine};
+use crate::policy::{Named, Policy};
+use crate::scenario::Scenario;
+use hillstall_module::api::{Action, BackendInfo, BackendState, Event, ListKind};
+use queue::{Happening, Queue};
+use rand_xoshiro::rand_core::RngCore;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use setup::{Figures, Stream};
+
+/// How often the machines' state is written down.
+const LOOK_MS: f64 = 100.0;
+
+struct Host {
+    machine: Machine,
+    tier: usize,
+    zone: usize,
+    /// Of the list: what is true now; proxies are told later.
+    state: BackendState,
+    started_at: Option<f64>,
+    /// Counts its processes; what an older one held is lost.
+    life: u32,
+    /// Cut off from the network.
+    lost: bool,
+    stamp: u64,
+    /// Its own proxy to the next tier.
+    proxy: Option<usize>,
+    /// When the proxies were told that it drains or is gone.
+    told_away: Option<f64>,
+}
+
+struct Proxy {
+    policy: Box<dyn Policy>,
+    tier: usize,
+    zone: usize,
+    alive: bool,
+}
+
+#[derive(Clone, Copy)]
+enum Caller {
+    Client { call: usize, no: u32 },
+    Machine { attempt: usize },
+}
+
+struct Ask {
+    proxy: usize,
+    caller: Caller,
+    class: usize,
+    work: f64,
+    give_up_at: f64,
+    attempts: u32,
+    out: Option<usize>,
+    answered: bool,
+    gone: bool,
+}
+
+struct Attempt {
+    ask: usize,
+    no: u32,
+    machine: usize,
+    life: u32,
+    sent_at: f64,
+    /// Its end was told to the policy.
+    over: bool,
+    /// The machine holds it.
+    held: bool,
+    /// Nobody waits for it any more.
+    dropped: bool,
+    phases_left: usize,
+    phase_work: f64,
+    below: Option<usize>,
+}
+
+struct Call {
+    class: usize,
+    work: f64,
+    first_at: f64,
+    deadline_at: f64,
+    zone: usize,
+    no: u32,
+    /// The request at the proxy that the current try became.
+    ask: Option<usize>,
+    closed: bool,
+}
+
+/// One run.
+struct World {
+    figures: Figures,
+    now: f64,
+    queue: Queue,
+    hosts: Vec<Host>,
+    tiers: Vec<Vec<usize>>,
+    proxies: Vec<Proxy>,
+    before: Vec<Vec<usize>>,
+    asks: Vec<Ask>,
+    attempts: Vec<Attempt>,
+    calls: Vec<Call>,
+    arrivals: Xoshiro256PlusPlus,
+    network: Xoshiro256PlusPlus,
+    burst: f64,
+    discovery_down: bool,
+    untold: Vec<usize>,
+    done: Vec<Job>,
+    tally: Tally,
+    looked_at: f64,
+}
+
+/// Runs a scenario under a policy in simulated time.
+pub fn run(scenario: &Scenario, policy: Named, seed: u64) -> Tally {
+    let mut world = World::new(setup::draw(scenario, seed), policy, seed);
+    while let Some((at, what)) = world.queue.next() {
+        world.now = at;
+        world.happen(what);
+        world.look();
+    }
+    let open = world.asks.iter().filter(|a| !a.answered && !a.gone).count() as u64;
+    world.tally.wrong_answers += open;
+    let chokes = world.hosts.iter().map(|h| u64::from(h.machine.chokes())).sum();
+    world.tally.close(chokes)
+}
+
+/// A number from 0 to 1, without 1.
+fn part(rng: &mut Xoshiro256PlusPlus) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+impl World {
+    fn new(figures: Figures, policy: Named, seed: u64) -> World {
+        let mut world = World {
+            now: 0.0,
+            queue: Queue::default(),
+            hosts: Vec::new(),
+            tiers: Vec::new(),
+            proxies: Vec::new(),
+            before: vec![Vec::new(); figures.tiers.len()],
+            asks: Vec::new(),
+            attempts: Vec::new(),
+            calls: Vec::new(),
+            arrivals: setup::chance(seed, Stream::Arrivals),
+            network: setup::chance(seed, Stream::Network),
+            burst: 1.0,
+            discovery_down: false,
+            untold: Vec::new(),
+            done: Vec::new(),
+            tally: Tally::new(policy.name(), seed, figures.length),
+            looked_at: f64::MIN,
+            figures,
+        };
+        world.build(policy, seed);
+        world
+    }
+
+    fn build(&mut self, policy: Named, seed: u64) {
+        let mut seeds = setup::chance(seed, Stream::Policies);
+        for (tier, of) in self.figures.tiers.iter().enumerate() {
+            let first = self.hosts.len();
+            for i in 0..of.servers {
+                self.hosts.push(Host {
+                    machine: Machine::new(of.kind),
+                    tier,
+                    zone: i % self.figures.zones,
+                    state: BackendState::Ready,
+                    started_at: None,
+                    life: 0,
+                    lost: false,
+                    stamp: 0,
+                    proxy: None,
+                    told_away: None,
+                });
+            }
+            self.tiers.push((first..self.hosts.len()).collect());
+        }
+        for tier in 0..self.tiers.len() {
+            // The first tier's proxies stand alone; each machine has one of its own to the next tier.
+            let owners: Vec<Option<usize>> = match tier {
+                0 => vec![None; self.figures.proxies],
+                _ => self.tiers[tier - 1].iter().copied().map(Some).collect(),
+            };
+            for (rank, owner) in owners.iter().enumerate() {
+                let zone = owner.map_or(rank % self.figures.zones, |host| self.hosts[host].zone);
+                let settings = self.figures.settings(tier, rank, owners.len(), zone);
+                let number = self.proxies.len();
+                self.proxies.push(Proxy {
+                    policy: policy.start(settings, seeds.next_u64()),
+                    tier,
+                    zone,
+                    alive: true,
+                });
+                self.before[tier].push(number);
+                if let Some(host) = *owner {
+                    self.hosts[host].proxy = Some(number);
+                }
+                let list: Vec<BackendInfo> = self.tiers[tier].iter().map(|h| self.info(*h)).collect();
+                let told = Event::BackendsChanged { kind: ListKind::Cached, version: 0, backends: &list };
+                self.tell(number, told);
+            }
+        }
+        for (index, failure) in self.figures.failures.iter().enumerate() {
+            self.queue.put(failure.at, Happening::Failure { index, begins: true });
+            self.queue.put(failure.at + failure.lasts, Happening::Failure { index, begins: false });
+        }
+        self.queue.put(0.0, Happening::Arrival);
+    }
+
+    /// A machine as the list has it.
+    fn info(&self, host: usize) -> BackendInfo {
+        let h = &self.hosts[host];
+        BackendInfo {
+            id: host as u32,
+            zone: h.zone as u16,
+            kind: 0,
+            cell: 0,
+            state: h.state,
+            rating: 1.0,
+            started_at: h.started_at,
+        }
+    }
+
+    /// Tells a proxy's policy, and carries out what it wants.
+    fn tell(&mut self, proxy: usize, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.proxies[proxy].policy.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.carry_out(proxy, action);
+        }
+    }
+
+    fn carry_out(&mut self, proxy: usize, action: Action) {
+        match action {
+            Action::Send { request, backend, timeout_ms } => {
+                self.send(request as usize, backend as usize, timeout_ms);
+            }
+            Action::Refuse { request, retry_after_ms } => {
+                self.answer(request as usize, queue::End::Refused, retry_after_ms);
+            }
+            Action::Fail { request } => self.answer(request as usize, queue::End::Failed, 0.0),
+            Action::Cancel { request, .. } => self.call_off(request as usize),
+            Action::SetTimer { after_ms, token } => {
+                self.queue.put(self.now + after_ms, Happening::Timer { proxy, token });
+            }
+            // The list comes by itself here, and nothing is probed.
+            _ => {}
+        }
+    }
+
+    fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Arrival => self.arrive(),
+            Happening::Try { call, no } => self.try_at_proxy(call, no),
+            Happening::TryOver { call, no } => self.try_over(call, no),
+            Happening::Final { call, no, end, come_back } => self.final_at_client(call, no, end, come_back),
+            Happening::Reach { attempt } => self.reach(attempt),
+            Happening::Due { machine, stamp } => {
+                if self.hosts[machine].stamp == stamp {
+                    let now = self.now;
+                    self.hosts[machine].machine.advance(now, &mut self.done);
+                    self.worked(machine);
+                }
+            }
+            Happening::Back { attempt, outcome } => self.back(attempt, outcome),
+            Happening::TimeUp { attempt } => self.time_up(attempt),
+            Happening::Cancel { attempt } => self.cancel_at_machine(attempt),
+            Happening::Timer { proxy, token } => self.tell(proxy, Event::Timer { token }),
+            Happening::Failure { index, begins } => self.failure(index, begins),
+            Happening::Release { machine, step } => self.release_step(machine, step),
+            Happening::Told { machine } => self.told(machine),
+        }
+    }
+
+    /// Writes down from time to time what the first tier can do.
+    fn look(&mut self) {
+        if self.now - self.looked_at < LOOK_MS || self.now > self.figures.length {
+            return;
+        }
+        self.looked_at = self.now;
+        let kind = &self.figures.tiers[0].kind;
+        let whole = self.tiers[0].len() as f64 * kind.cores as f64 * kind.speed;
+        let hosts = || self.tiers[0].iter().map(|h| &self.hosts[*h]).filter(|h| !h.lost);
+        let able: f64 = hosts().map(|h| h.machine.capacity(self.now)).sum();
+        let choked = hosts().filter(|h| h.machine.is_choked()).count() as u64;
+        self.tally.looked(self.now, able / whole, choked);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/setup.rs
@@ -0,0 +1,223 @@
+//! From a scenario and a seed to the figures of one run, and what each proxy is told of it.
+
+use crate::model::machine::Kind;
+use crate::model::work::Shape;
+use crate::scenario::{Repeats, Scenario, What};
+use hillstall_module::api::{
+    Allowed, Class, Effect, Objective, Prices, ReportVia, Rules, Scope, Settings, Weights,
+};
+use rand_xoshiro::rand_core::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+/// Streams of chance, apart from each other: the clients' must not depend on what a policy does, so that runs of one
+/// seed with two policies get the same calls.
+#[derive(Clone, Copy)]
+pub(super) enum Stream {
+    Figures,
+    Arrivals,
+    Network,
+    Policies,
+}
+
+pub(super) fn chance(seed: u64, stream: Stream) -> Xoshiro256PlusPlus {
+    let number = stream as u64 + 1;
+    Xoshiro256PlusPlus::seed_from_u64(seed ^ number.wrapping_mul(0x9E37_79B9_7F4A_7C15))
+}
+
+pub(super) struct ClassOf {
+    pub(super) name: String,
+    pub(super) share: f64,
+    pub(super) work: f64,
+    pub(super) shape: Shape,
+    pub(super) cv: f64,
+    pub(super) aim: f64,
+    pub(super) deadline: f64,
+    pub(super) worth: f64,
+    pub(super) repeats: Repeats,
+}
+
+pub(super) struct TierOf {
+    pub(super) name: String,
+    pub(super) servers: usize,
+    pub(super) kind: Kind,
+    pub(super) part: f64,
+    pub(super) calls: f64,
+}
+
+pub(super) struct FailureOf {
+    pub(super) what: What,
+    pub(super) at: f64,
+    pub(super) lasts: f64,
+    pub(super) zone: usize,
+    pub(super) tier: usize,
+    pub(super) part: f64,
+    pub(super) times: f64,
+}
+
+/// The figures of one run.
+pub(super) struct Figures {
+    pub(super) length: f64,
+    pub(super) zones: usize,
+    pub(super) proxies: usize,
+    pub(super) tiers: Vec<TierOf>,
+    pub(super) classes: Vec<ClassOf>,
+    pub(super) rate: f64,
+    pub(super) swing: f64,
+    pub(super) period: f64,
+    pub(super) retries: u32,
+    pub(super) wait: f64,
+    pub(super) try_part: f64,
+    pub(super) honour: f64,
+    pub(super) same_zone: f64,
+    pub(super) cross_zone: f64,
+    pub(super) client: f64,
+    pub(super) notice: f64,
+    pub(super) failures: Vec<FailureOf>,
+}
+
+pub(super) fn draw(scenario: &Scenario, seed: u64) -> Figures {
+    let rng = &mut chance(seed, Stream::Figures);
+    let tiers: Vec<TierOf> = (scenario.tiers.iter().enumerate())
+        .map(|(i, tier)| {
+            let (servers, kind) = tier.draw(rng);
+            let last = i + 1 == scenario.tiers.len();
+            let calls = if last { 0.0 } else { tier.calls.draw(rng) };
+            TierOf { name: tier.name.clone(), servers, kind, part: tier.work_part.draw(rng), calls }
+        })
+        .collect();
+    let classes: Vec<ClassOf> = (scenario.classes.iter())
+        .map(|class| ClassOf {
+            name: class.name.clone(),
+            share: class.share.draw(rng),
+            work: class.work.0.draw(rng),
+            shape: class.shape,
+            cv: class.cv.draw(rng),
+            aim: class.aim.0.draw(rng),
+            deadline: class.deadline.0.draw(rng),
+            worth: class.worth.draw(rng),
+            repeats: class.repeats,
+        })
+        .collect();
+    let shares: f64 = classes.iter().map(|c| c.share).sum();
+    let mean_work: f64 = classes.iter().map(|c| c.share / shares.max(1e-9) * c.work).sum();
+    // The tier that is full first says what the fleet can do.
+    let capacity = |tier: &TierOf| {
+        tier.servers as f64 * tier.kind.cores as f64 * tier.kind.speed / (mean_work * tier.part).max(1e-9)
+    };
+    let capacity = tiers.iter().map(capacity).fold(f64::MAX, f64::min) * 1e3;
+    let rate = match (scenario.load.rate, scenario.load.of_capacity) {
+        (Some(rate), _) => rate.draw(rng),
+        (None, part) => part.map_or(0.0, |part| part.draw(rng)) * capacity,
+    };
+    let failures = (scenario.failures.iter())
+        .map(|f| FailureOf {
+            what: f.what,
+            at: f.at.0.draw(rng),
+            lasts: f.lasts.0.draw(rng),
+            zone: f.zone,
+            tier: f.tier,
+            part: f.part.draw(rng).min(1.0),
+            times: f.times.draw(rng),
+        })
+        .collect();
+    Figures {
+        length: scenario.length.0.draw(rng),
+        zones: scenario.zones,
+        proxies: scenario.proxies.draw(rng).round().max(1.0) as usize,
+        tiers,
+        classes,
+        rate,
+        swing: scenario.load.swing.draw(rng).min(1.0),
+        period: scenario.load.period.0.draw(rng).max(1.0),
+        retries: scenario.clients.retries.draw(rng) as u32,
+        wait: scenario.clients.wait.0.draw(rng),
+        try_part: scenario.clients.try_part.draw(rng).clamp(0.01, 1.0),
+        honour: scenario.clients.honour.draw(rng).min(1.0),
+        same_zone: scenario.net.same_zone.0.draw(rng),
+        cross_zone: scenario.net.cross_zone.0.draw(rng),
+        client: scenario.net.client.0.draw(rng),
+        notice: scenario.discovery.notice.0.draw(rng),
+        failures,
+    }
+}
+
+impl Figures {
+    /// What a proxy is told of the deployment.
+    pub(super) fn settings(&self, tier: usize, rank: usize, copies: usize, zone: usize) -> Settings {
+        let kind = &self.tiers[tier].kind;
+        let class = |c: &ClassOf| Class {
+            name: c.name.clone(),
+            aim_ms: c.aim,
+            aim_stretch: 0.0,
+            deadline_ms: c.deadline,
+            worth: c.worth,
+            late_worth: 0.0,
+            effect: match c.repeats {
+                Repeats::Safe => Effect::Repeatable,
+                Repeats::Keyed => Effect::Keyed,
+                Repeats::Once => Effect::Once,
+            },
+            scope: Scope::All,
+            window_ms: 2_500.0,
+            streaming: false,
+        };
+        Settings {
+            rank: rank as u32,
+            fleet_size: copies as u32,
+            zone: zone as u16,
+            stage: tier as u32,
+            stages: self.tiers.iter().map(|t| t.name.clone()).collect(),
+            zones: (0..self.zones).map(|z| format!("zone-{z}")).collect(),
+            machine_kinds: vec!["machine".into()],
+            service: "lab".into(),
+            passes_deadline: true,
+            warm_keys: false,
+            marks_retry: true,
+            must_subscribe: false,
+            worth_by_work: true,
+            over_share_worth: 1.0,
+            tick_ms: 2.0,
+            weights: Weights::Off,
+            report: Vec::new(),
+            report_via: ReportVia::Off,
+            classes: self.classes.iter().map(class).collect(),
+            tenants: Vec::new(),
+            rules: Rules {
+                answer_grace_ms: 100.0,
+                drain_grace_ms: 2_000.0,
+                ask_within_ms: 5_000.0,
+                cold_from: kind.cold_from,
+                cold_ms: kind.cold,
+                fall_multiple: 3.0,
+                fall_ms: 2_000.0,
+            },
+            allowed: Allowed {
+                cancel: true,
+                probe: false,
+                parallel: false,
+                retry_after: true,
+                max_retry_after_ms: 750.0,
+                max_attempts: 6,
+                max_open: 100_000,
+                peers: false,
+                idle_close_ms: 60_000.0,
+                connect_timeout_ms: CONNECT_TIMEOUT,
+                streams_per_connection: 1,
+                cpu_us_per_s: 1e6,
+                cpu_us_per_request: 0.0,
+            },
+            prices: Prices { cross_zone: 0.015, waste: 0.027, late_fail: 0.03, ..Prices::default() },
+            objective: Objective {
+                whole: 0.55,
+                worst_window: 0.05,
+                worst_class: 0.1,
+                worst_tenant: 0.3,
+                nines: 0.0,
+                full_at_nines: 0.0,
+            },
+        }
+    }
+}
+
+/// After this time an attempt at a machine that is gone from the network counts as not connected.
+pub(super) const CONNECT_TIMEOUT: f64 = 75.0;
--- /dev/null
+++ b/crates/lab/tests/experiments.rs
@@ -0,0 +1,117 @@
+//! Whole runs: they repeat to the byte, keep the rules, and hold policies against each other on the same calls.
+
+use hillstall_lab::experiment::{gain, grid, runs, Axis, Mean, NoSweep};
+use hillstall_lab::policy::Named;
+use hillstall_lab::report;
+use hillstall_lab::scenario::{Invalid, Scenario};
+use hillstall_lab::scenarios;
+use hillstall_lab::sim::{self, Tally};
+
+fn bytes(tally: &Tally) -> String {
+    serde_json::to_string(tally).expect("plain data")
+}
+
+#[test]
+fn a_seed_repeats_to_the_byte_and_another_differs() {
+    let scenario = scenarios::find("lose-hall").expect("embedded").1;
+    for policy in [Named::Hillstall, Named::TwoChoices] {
+        let (a, b) = (sim::run(&scenario, policy, 3), sim::run(&scenario, policy, 3));
+        assert_eq!(bytes(&a), bytes(&b), "{}", policy.name());
+        assert_ne!(bytes(&a), bytes(&sim::run(&scenario, policy, 4)));
+    }
+}
+
+#[test]
+fn hillstall_keeps_the_rules_while_a_hall_is_lost_and_boxes_hang() {
+    for name in scenarios::names() {
+        let scenario = scenarios::find(name).expect("embedded").1;
+        let tally = sim::run(&scenario, Named::Hillstall, 1);
+        assert!(tally.offered > 1_000, "{name}: {} calls", tally.offered);
+        assert_eq!((tally.late_sends, tally.wrong_answers), (0, 0), "{name}");
+        let ended: u64 = tally.seconds.iter().map(|s| s.in_aim + s.late + s.refused + s.failed).sum();
+        assert_eq!(ended, tally.offered, "{name}: each call ends once");
+    }
+}
+
+#[test]
+fn policies_get_the_same_calls_and_the_order_of_results_is_fixed() {
+    let scenario = scenarios::find("one-hangs").expect("embedded").1;
+    let tallies = runs(&scenario, &[Named::Random, Named::Hillstall], &[1, 2], || {});
+    let order: Vec<(&str, u64)> = tallies.iter().map(|t| (t.policy.as_str(), t.seed)).collect();
+    assert_eq!(order, [("random", 1), ("random", 2), ("hillstall", 1), ("hillstall", 2)]);
+    for seed in 0..2 {
+        let offered = |t: &Tally| t.seconds.iter().map(|s| s.offered).collect::<Vec<_>>();
+        assert_eq!(offered(&tallies[seed]), offered(&tallies[seed + 2]));
+    }
+}
+
+#[test]
+fn losing_a_hall_costs_service_while_it_is_away() {
+    let scenario = scenarios::find("lose-hall").expect("embedded").1;
+    let tally = sim::run(&scenario, Named::Hillstall, 1);
+    let able = |s: usize| tally.seconds[s].capacity;
+    assert!(able(5) > 0.95 && (0.4..0.6).contains(&able(15)), "{} and {}", able(5), able(15));
+    assert!(able(22) < 0.95, "the hall comes back cold: {}", able(22));
+}
+
+#[test]
+fn a_mean_has_the_interval_of_students_t() {
+    let mean = Mean::of(&[1.0, 2.0, 3.0]);
+    assert!((mean.mean - 2.0).abs() < 1e-12 && (mean.half - 2.4841).abs() < 1e-3, "{mean:?}");
+    assert!(!mean.is_apart() && !Mean::of(&[5.0]).is_apart());
+}
+
+#[test]
+fn the_same_policy_gains_nothing_on_itself() {
+    let scenario = scenarios::find("one-hangs").expect("embedded").1;
+    let tallies = runs(&scenario, &[Named::Random], &[1, 2, 3], || {});
+    assert_eq!(gain(&tallies, &tallies, |t| t.service), Mean { mean: 0.0, half: 0.0 });
+}
+
+#[test]
+fn a_sweep_is_the_grid_of_its_axes() {
+    let text = scenarios::text("one-hangs").expect("embedded");
+    let axes: Vec<Axis> = ["load.of_capacity=0.3,0.5,0.7", "tier.0.servers=4,6", "clients.wait=10ms"]
+        .map(|a| a.parse().expect("an axis"))
+        .into();
+    let cells = grid(text, &axes).expect("a grid");
+    assert_eq!(cells.len(), 6);
+    assert_eq!(cells[3].0, "load.of_capacity=0.5 tier.0.servers=6 clients.wait=\"10ms\"");
+    let wrong = |axis: &str| grid(text, &[axis.parse().expect("an axis")]);
+    assert!(matches!(wrong("tier.7.servers=1"), Err(NoSweep::Key(_))));
+    assert!(matches!(wrong("load.of_kapacity=1"), Err(NoSweep::Scenario { .. })));
+}
+
+#[test]
+fn a_wrong_file_is_told_with_line_and_key() {
+    let text = scenarios::text("lose-hall").expect("embedded");
+    let told = |from: &str, to: &str| {
+        let why = Scenario::parse(&text.replacen(from, to, 1)).expect_err("wrong");
+        why.to_string()
+    };
+    let line = |part: &str| 1 + text.lines().position(|l| l.contains(part)).expect("there");
+    let unknown = told("swing = 0.2", "swnig = 0.2");
+    assert!(
+        unknown.contains(&format!("line {}", line("swing = 0.2"))) && unknown.contains("swnig"),
+        "{unknown}"
+    );
+    let time = told("aim = \"500ms\"", "aim = \"500 parsecs\"");
+    assert!(
+        time.contains("500 parsecs") && time.contains(&format!("line {}", line("aim = \"500ms\""))),
+        "{time}"
+    );
+    let range = told("of_capacity = [0.38, 0.46]", "of_capacity = [0.5, 0.4]");
+    assert!(range.contains("0.5 to 0.4"), "{range}");
+    let zone = Scenario::parse(&text.replacen("zone = 1", "zone = 2", 1));
+    assert!(matches!(zone, Err(Invalid::Sense { ref key, .. }) if key == "failure[0].zone"), "{zone:?}");
+}
+
+#[test]
+fn a_report_holds_its_table_and_plots() {
+    let scenario = scenarios::find("one-hangs").expect("embedded").1;
+    let groups = report::groups(runs(&scenario, &[Named::Random, Named::Oracle], &[1], || {}));
+    let page = report::html("a <test>", &groups).expect("a page");
+    assert_eq!(page.matches("<svg").count(), 6);
+    assert!(page.contains("a &lt;test&gt;") && page.contains("<td>oracle</td>"));
+    assert_eq!(report::table(&groups).lines().count(), 4);
+}
--- /dev/null
+++ b/crates/lab/tests/model.rs
@@ -0,0 +1,162 @@
+//! The model against theory where it is exact, and against the failures it is there to cause.
+
+use hillstall_lab::experiment::{runs, Mean};
+use hillstall_lab::model::machine::{Choke, Kind, Machine, Taken};
+use hillstall_lab::policy::Named;
+use hillstall_lab::scenario::Scenario;
+
+fn kind() -> Kind {
+    Kind {
+        cores: 2,
+        speed: 1.0,
+        slots: 1_000,
+        room: 1_000,
+        thrash_at: 1e9,
+        thrash_to: 1.0,
+        cold_from: 0.25,
+        cold: 0.0,
+        choke: None,
+    }
+}
+
+/// Mean latency over ten seeds of a queue with so many cores at a utilisation, work exponential with mean 10 ms.
+fn queue(cores: u32, utilisation: f64) -> Mean {
+    let text = format!(
+        r#"
+        name = "queue"
+        length = "400s"
+        proxies = 1
+        load = {{ rate = {rate} }}
+        net = {{ same_zone = "0ms", cross_zone = "0ms", client = "0ms" }}
+        [[tier]]
+        name = "one"
+        servers = 1
+        cores = {cores}
+        [[class]]
+        name = "c"
+        work = "10ms"
+        aim = "1000s"
+        deadline = "2000s"
+        "#,
+        rate = utilisation * f64::from(cores) * 100.0,
+    );
+    let scenario = Scenario::parse(&text).expect("a scenario");
+    let tallies = runs(&scenario, &[Named::Random], &Vec::from_iter(1..=10), || {});
+    Mean::of(&tallies.iter().map(|tally| tally.mean_ms).collect::<Vec<_>>())
+}
+
+/// Mean time in an M/M/c queue (Erlang C), for mean work 10 ms.
+fn erlang_c(cores: u32, utilisation: f64) -> f64 {
+    let offered = utilisation * f64::from(cores);
+    let mut term = 1.0;
+    let mut sum = 1.0;
+    for k in 1..cores {
+        term *= offered / f64::from(k);
+        sum += term;
+    }
+    let last = term * offered / f64::from(cores) / (1.0 - utilisation);
+    let waits = last / (sum + last);
+    10.0 + waits * 10.0 / (f64::from(cores) * (1.0 - utilisation))
+}
+
+#[test]
+fn waiting_times_are_those_of_queueing_theory() {
+    // M/M/1 at 0.7: 10 / (1 - 0.7).
+    assert!((erlang_c(1, 0.7) - 100.0 / 3.0).abs() < 1e-9);
+    for (cores, utilisation) in [(1, 0.5), (1, 0.7), (4, 0.8)] {
+        let (measured, theory) = (queue(cores, utilisation), erlang_c(cores, utilisation));
+        // Twice the half-width at 95% is beyond 99.9% for ten seeds; the seeds are fixed.
+        assert!(measured.half < 0.03 * theory, "{cores} cores: too wide: {measured:?}");
+        assert!(
+            (measured.mean - theory).abs() < 2.0 * measured.half,
+            "{cores} at {utilisation}: {measured:?}, {theory}"
+        );
+    }
+}
+
+#[test]
+fn a_crowd_chokes_a_machine_and_only_idleness_frees_it() {
+    let choke = Choke { at: 4.0, over: 1_500.0, slower: 3.0, below: 0.3, rest: 3_000.0, most: 60_000.0 };
+    let mut machine = Machine::new(Kind { choke: Some(choke), ..kind() });
+    let mut done = Vec::new();
+    // Ten jobs of a second each on two cores: eight wait, for as long as it takes to choke.
+    for job in 0..11 {
+        assert_eq!(machine.offer(0.0, job, 2_000.0, &mut done), Taken::Yes);
+    }
+    machine.advance(1_400.0, &mut done);
+    assert!(!machine.is_choked());
+    machine.advance(1_600.0, &mut done);
+    assert!(machine.is_choked());
+    // What it still does is three times slower.
+    assert!((machine.capacity(1_600.0) - 2.0 / 3.0).abs() < 1e-9);
+    // A trickle that keeps one core of two busy keeps it slow, long after the crowd has gone.
+    let mut machine = Machine::new(Kind { choke: Some(choke), ..kind() });
+    let mut now = 0.0;
+    for job in 0..12 {
+        machine.offer(now, job, 1_000.0, &mut done);
+    }
+    for job in 100..140 {
+        now += 500.0;
+        machine.advance(now, &mut done);
+        machine.offer(now, job, 200.0, &mut done);
+    }
+    assert!(machine.is_choked(), "a trickle must keep it slow");
+    machine.advance(now + 30_000.0, &mut done);
+    assert!(!machine.is_choked(), "idleness frees it");
+    assert_eq!(machine.chokes(), 1);
+}
+
+#[test]
+fn a_full_machine_turns_away_and_a_dead_one_loses_all() {
+    let mut machine = Machine::new(Kind { slots: 2, room: 1, ..kind() });
+    let mut done = Vec::new();
+    for job in 0..3 {
+        assert_eq!(machine.offer(0.0, job, 10.0, &mut done), Taken::Yes);
+    }
+    assert_eq!(machine.offer(0.0, 3, 10.0, &mut done), Taken::Full);
+    machine.kill(5.0, &mut done);
+    machine.advance(100.0, &mut done);
+    assert!(done.is_empty(), "what a dead machine held never ends: {done:?}");
+    assert_eq!((machine.holds(), machine.due()), (0, None));
+}
+
+#[test]
+fn a_silent_machine_goes_on_where_it_was() {
+    let mut machine = Machine::new(kind());
+    let mut done = Vec::new();
+    machine.offer(0.0, 1, 10.0, &mut done);
+    machine.hang(5.0, true, &mut done);
+    machine.advance(1_000.0, &mut done);
+    assert!(done.is_empty());
+    machine.hang(1_000.0, false, &mut done);
+    machine.advance(1_005.0 + 1e-6, &mut done);
+    assert_eq!(done, [1]);
+}
+
+#[test]
+fn a_fresh_machine_gets_faster_until_it_is_warm() {
+    let mut machine = Machine::new(Kind { cold: 1_000.0, ..kind() });
+    machine.start(0.0);
+    assert!((machine.capacity(0.0) - 0.5).abs() < 1e-9);
+    assert!((machine.capacity(500.0) - 1.25).abs() < 1e-9);
+    assert!((machine.capacity(1_000.0) - 2.0).abs() < 1e-9);
+    // The work of a whole second while it warms: the mean of 0.25 and 1, on one core.
+    let mut done = Vec::new();
+    machine.offer(0.0, 1, 10_000.0, &mut done);
+    machine.advance(1_000.0, &mut done);
+    assert!((machine.worked() - 625.0).abs() < 15.0, "{}", machine.worked());
+}
+
+#[test]
+fn a_cancel_drops_what_waits_and_leaves_what_runs() {
+    let mut machine = Machine::new(Kind { cores: 1, slots: 2, ..kind() });
+    let mut done = Vec::new();
+    for job in 0..3 {
+        machine.offer(0.0, job, 10.0, &mut done);
+    }
+    assert!(!machine.cancel(1.0, 0, &mut done), "it runs");
+    assert!(machine.cancel(1.0, 1, &mut done), "it has a slot and waits for a core");
+    assert!(machine.cancel(1.0, 2, &mut done), "it waits, now for a core");
+    machine.advance(100.0, &mut done);
+    assert_eq!(done, [0]);
+}
