--- a/crates/hillstall/src/lab.rs
+++ b/crates/hillstall/src/lab.rs
@@ -65,6 +65,18 @@
         #[command(flatten)]
         how: How,
     },
+    /// Play days of the bench, as its `draw` prints them
+    Day {
+        /// Day files (JSON)
+        #[arg(required = true)]
+        days: Vec<PathBuf>,
+        /// Policies
+        #[arg(long, value_delimiter = ',', default_value = "hillstall")]
+        policy: Vec<Named>,
+        /// How to run and where to write
+        #[command(flatten)]
+        how: How,
+    },
     /// Draw the page of results kept with --json
     Report {
         /// JSON lines
@@ -123,6 +135,19 @@
             let tallies = runs(&cells, &policy, &how);
             show(&name, tallies, &how)
         }
+        Lab::Day { days, policy, how } => {
+            let mut tallies = Vec::new();
+            for path in &days {
+                let text = std::fs::read_to_string(path).map_err(|e| at(path, &e))?;
+                let name = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
+                let seeds: Vec<u64> = (1..=how.seeds).collect();
+                let (runs, unknown) =
+                    experiment::days(&text, &policy, &seeds).map_err(|why| at(path, &why))?;
+                unknown.iter().for_each(|kind| say(format!("{}: no model for {kind}", path.display())));
+                tallies.extend(in_cell(runs, &name));
+            }
+            show("days of the bench", tallies, &how)
+        }
         Lab::Report { results, page } => {
             let text = std::fs::read_to_string(&results).map_err(|e| at(&results, &e))?;
             let mut tallies: Vec<Tally> = Vec::new();
@@ -153,14 +178,18 @@
     }
 }
 
+/// Runs that belong to one cell of a table.
+fn in_cell(mut tallies: Vec<Tally>, cell: &str) -> Vec<Tally> {
+    tallies.iter_mut().for_each(|tally| tally.cell = cell.to_string());
+    tallies
+}
+
 fn runs(cells: &[(String, Scenario)], policies: &[Named], how: &How) -> Vec<Tally> {
     let seeds: Vec<u64> = (1..=how.seeds).collect();
     let bar = ProgressBar::new((cells.len() * policies.len()) as u64 * how.seeds);
     let mut all = Vec::new();
     for (cell, scenario) in cells {
-        let mut tallies = experiment::runs(scenario, policies, &seeds, || bar.inc(1));
-        tallies.iter_mut().for_each(|tally| tally.cell.clone_from(cell));
-        all.append(&mut tallies);
+        all.append(&mut in_cell(experiment::runs(scenario, policies, &seeds, || bar.inc(1)), cell));
     }
     bar.finish_and_clear();
     all
--- a/crates/lab/src/sim/attempts.rs
+++ b/crates/lab/src/sim/attempts.rs
@@ -4,6 +4,7 @@
 use super::setup::CONNECT_TIMEOUT;
 use super::{part, Ask, Attempt, Caller, World};
 use crate::model::machine::Taken;
+use crate::model::work::{self, Shape};
 use hillstall_module::api::{BackendId, BackendState, Event, Outcome, Report};
 
 impl World {
@@ -15,12 +16,20 @@
     }
 
     /// A request comes to a proxy.
-    pub(super) fn ask(&mut self, proxy: usize, caller: Caller, class: usize, work: f64, ttl: f64) {
+    pub(super) fn ask(
+        &mut self,
+        proxy: usize,
+        caller: Caller,
+        (class, tenant): (usize, usize),
+        work: f64,
+        ttl: f64,
+    ) {
         let id = self.asks.len();
         self.asks.push(Ask {
             proxy,
             caller,
             class,
+            tenant,
             work,
             give_up_at: self.now + ttl,
             attempts: 0,
@@ -37,7 +46,7 @@
             id: id as u64,
             key: None,
             class: class as u8,
-            tenant: 0,
+            tenant: tenant as u16,
             hint_ms: None,
             repeat: false,
             write: false,
@@ -67,6 +76,8 @@
         let calls = whole as usize + usize::from(part(&mut self.network) < of.calls - whole);
         let phases = calls + 1;
         let attempt = self.attempts.len();
+        let noise = self.figures.classes[self.asks[ask].class].noise;
+        let off = work::draw(Shape::Lognormal, 1.0, noise, &mut self.network);
         let a = &mut self.asks[ask];
         self.attempts.push(Attempt {
             ask,
@@ -78,7 +89,7 @@
             held: false,
             dropped: false,
             phases_left: phases,
-            phase_work: a.work * of.part / phases as f64,
+            phase_work: a.work * off * of.part / phases as f64,
             below: None,
         });
         a.attempts += 1;
@@ -137,8 +148,8 @@
             return self.finish(attempt, Outcome::Ok);
         }
         let (machine, ask) = (a.machine, a.ask);
-        let (class, work, ttl) =
-            (self.asks[ask].class, self.asks[ask].work, self.asks[ask].give_up_at - self.now);
+        let of = &self.asks[ask];
+        let (whose, work, ttl) = ((of.class, of.tenant), of.work, of.give_up_at - self.now);
         let calls = a.phases_left as f64;
         let Some(proxy) = self.hosts[machine].proxy else {
             return self.finish(attempt, Outcome::Ok);
@@ -147,7 +158,7 @@
         let tier = self.hosts[machine].tier;
         let all = self.figures.tiers[tier].calls.max(1.0).max(calls);
         self.attempts[attempt].below = Some(self.asks.len());
-        self.ask(proxy, Caller::Machine { attempt }, class, work / all, ttl.max(0.0));
+        self.ask(proxy, Caller::Machine { attempt }, whose, work / all, ttl.max(0.0));
     }
 
     /// A machine is done with an attempt.
--- a/crates/lab/src/sim/clients.rs
+++ b/crates/lab/src/sim/clients.rs
@@ -7,48 +7,75 @@
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
+/// Which of some parts a number from 0 to 1 falls on.
+fn drawn(number: f64, parts: impl Iterator<Item = f64> + Clone) -> usize {
+    let mut left = number * parts.clone().sum::<f64>();
+    let mut last = 0;
+    for (i, part) in parts.enumerate() {
+        last = i;
+        left -= part;
+        if left < 0.0 {
+            break;
+        }
+    }
+    last
+}
+
 impl World {
+    /// Whether a tenant's call is within its share: a bucket that a second's share fills.
+    fn within_share(&mut self, tenant: usize) -> bool {
+        let Some(quota) = self.figures.tenants.get(tenant).map(|t| t.quota) else { return true };
+        let (left, at) = &mut self.shares[tenant];
+        *left = (*left + quota * (self.now - *at) / 1e3).min(quota);
+        *at = self.now;
+        let within = *left >= 1.0;
+        if within {
+            *left -= 1.0;
+        }
+        within
+    }
+
     /// A Poisson process whose rate changes: drawn at the highest rate, and thinned.
     pub(super) fn arrive(&mut self) {
         let most_burst = self.figures.failures.iter().map(|f| f.times).fold(1.0, f64::max);
-        let most = self.figures.rate * (1.0 + self.figures.swing) * most_burst / 1e3;
+        let shape = self.figures.shape.iter().map(|(_, times)| *times).fold(1.0, f64::max);
+        let most = self.figures.rate * (1.0 + self.figures.swing) * most_burst * shape / 1e3;
         if most <= 0.0 || self.now > self.figures.length {
             return;
         }
         if self.now > 0.0 {
             let turn = self.now / self.figures.period * std::f64::consts::TAU;
-            let rate = self.figures.rate * (1.0 + self.figures.swing * turn.sin()) * self.burst / 1e3;
+            let swing = 1.0 + self.figures.swing * turn.sin();
+            let rate = self.figures.rate * swing * self.figures.factor(self.now) * self.burst / 1e3;
             // Drawn in any case, so that the stream is the same for all policies and bursts.
-            let (keep, class, zone) =
-                (part(&mut self.arrivals), part(&mut self.arrivals), part(&mut self.arrivals));
+            let [keep, class, zone, tenant] = [(); 4].map(|()| part(&mut self.arrivals));
             // Shapes take different counts of draws, so each call's work has a stream of its own.
             let size = Xoshiro256PlusPlus::seed_from_u64(self.arrivals.next_u64());
             if keep * most < rate {
-                self.call(class, size, zone);
+                self.call(class, size, zone, tenant);
             }
         }
         let gap = -(1.0 - part(&mut self.arrivals)).ln() / most;
         self.queue.put(self.now + gap, Happening::Arrival);
     }
 
-    fn call(&mut self, class: f64, mut size: Xoshiro256PlusPlus, zone: f64) {
-        let classes = &self.figures.classes;
-        let mut left = class * classes.iter().map(|c| c.share).sum::<f64>();
-        let mut class = 0;
-        while class + 1 < classes.len() && left >= classes[class].share {
-            left -= classes[class].share;
-            class += 1;
-        }
-        let of = &classes[class];
+    fn call(&mut self, class: f64, mut size: Xoshiro256PlusPlus, zone: f64, tenant: f64) {
+        let class = drawn(class, self.figures.classes.iter().map(|c| c.share));
+        let tenant = drawn(tenant, self.figures.tenants.iter().map(|t| t.traffic));
+        let within = self.within_share(tenant);
+        let of = &self.figures.classes[class];
         let work = work::draw(of.shape, of.work, of.cv, &mut size);
-        let worth = of.worth * work / of.work.max(1e-9);
+        let part = if within { 1.0 } else { self.figures.over_share_worth };
+        let worth = part * of.worth * work / of.work.max(1e-9);
         self.tally.asked(self.now, worth);
         self.calls.push(Call {
             class,
+            tenant,
             work,
+            worth,
             first_at: self.now,
             deadline_at: self.now + of.deadline,
-            zone: (zone * self.figures.zones as f64) as usize,
+            zone: drawn(zone, self.figures.zone_share.iter().copied()),
             no: 0,
             ask: None,
             closed: false,
@@ -71,8 +98,13 @@
         if of.closed || of.no != no {
             return;
         }
-        let (class, work, zone, deadline) = (of.class, of.work, of.zone, of.deadline_at);
-        let alive = |p: &&usize| self.proxies[**p].alive;
+        let (class, tenant, work) = (of.class, of.tenant, of.work);
+        let (zone, deadline) = (of.zone, of.deadline_at);
+        // The front layer sends past a proxy that is gone only once it has noticed.
+        let alive = |p: &&usize| {
+            let proxy = &self.proxies[**p];
+            proxy.alive || self.now - proxy.gone_at < self.figures.front_notice
+        };
         let near: Vec<usize> = (self.before[0].iter().filter(alive))
             .filter(|p| self.proxies[**p].zone == zone)
             .copied()
@@ -83,11 +115,14 @@
             return;
         }
         let proxy = able[(part(&mut self.network) * able.len() as f64) as usize];
+        if !self.proxies[proxy].alive {
+            return;
+        }
         let patience = self.figures.try_part * self.figures.classes[class].deadline;
         // What is left when the answer must set out.
         let ttl = patience.min(deadline - self.now + self.figures.client) - 2.0 * self.figures.client;
         self.calls[call].ask = Some(self.asks.len());
-        self.ask(proxy, Caller::Client { call, no }, class, work, ttl.max(0.0));
+        self.ask(proxy, Caller::Client { call, no }, (class, tenant), work, ttl.max(0.0));
     }
 
     /// The client has waited long enough for this try.
@@ -123,9 +158,8 @@
                 let of = &mut self.calls[call];
                 of.closed = true;
                 let latency_ms = self.now - of.first_at;
-                let (first_at, class) = (of.first_at, &self.figures.classes[of.class]);
-                let worth = class.worth * of.work / class.work.max(1e-9);
-                let in_aim = latency_ms <= class.aim;
+                let (first_at, worth) = (of.first_at, of.worth);
+                let in_aim = latency_ms <= self.figures.classes[of.class].aim;
                 self.tally.ended(first_at, worth, Ended::Answered { latency_ms, in_aim });
             }
             End::Refused => self.next_try(call, Ended::Refused, come_back),
--- /dev/null
+++ b/crates/lab/src/sim/day.rs
@@ -0,0 +1,303 @@
+//! Reads a day of the bench: one draw of a site, with each machine's speed, the load and the troubles. What the lab
+//! has no model for is passed over (see `docs/measurements/lab.md`); what it can't be without is an error.
+
+use super::setup::{ClassOf, FailureOf, Figures, Place, TenantOf, TierOf};
+use crate::model::machine::{Choke, Kind};
+use crate::model::work::Shape;
+use crate::scenario::{Repeats, What};
+use serde::Deserialize;
+
+/// Why a file is no day.
+#[derive(Debug, thiserror::Error)]
+pub enum NoDay {
+    /// It is no JSON, or a part is missing; the text names the line and the key.
+    #[error("{0}")]
+    Form(#[from] serde_json::Error),
+    /// Its parts do not go together.
+    #[error("{0}")]
+    Sense(String),
+}
+
+#[derive(Deserialize)]
+struct Day {
+    length: f64,
+    zones: Vec<String>,
+    net: Net,
+    #[serde(default)]
+    front_notice: f64,
+    traffic: Traffic,
+    clients: Clients,
+    discovery: Discovery,
+    classes: Vec<Class>,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+    tiers: Vec<Tier>,
+    servers: Vec<Server>,
+    balancers: Vec<Balancer>,
+    #[serde(default)]
+    troubles: Vec<Trouble>,
+}
+
+/// Microseconds, one way.
+#[derive(Deserialize)]
+struct Net {
+    same: f64,
+    cross: f64,
+    client: f64,
+}
+
+#[derive(Deserialize)]
+struct Traffic {
+    load: f64,
+    shape: Vec<(f64, f64)>,
+    zone_share: Vec<f64>,
+    #[serde(default = "whole")]
+    over_share_worth: f64,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+struct Clients {
+    retries: u32,
+    try_share: f64,
+    backoff: String,
+    #[serde(default)]
+    backoff_us: f64,
+    honour: f64,
+}
+
+#[derive(Deserialize)]
+struct Discovery {
+    notice: f64,
+    silent_notice: f64,
+    add: f64,
+}
+
+#[derive(Deserialize)]
+struct Class {
+    name: String,
+    share: f64,
+    work: f64,
+    dist: String,
+    cv: f64,
+    #[serde(default)]
+    attempt_noise: f64,
+    aim: f64,
+    deadline: f64,
+    worth: f64,
+    effect: String,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    name: String,
+    traffic: f64,
+    quota: f64,
+}
+
+#[derive(Deserialize)]
+struct Tier {
+    name: String,
+    calls: f64,
+    work: f64,
+    kinds: Vec<MachineKind>,
+    choke: Option<Choking>,
+}
+
+#[derive(Deserialize)]
+struct MachineKind {
+    cores: usize,
+    slots: usize,
+    queue: usize,
+    thrash: f64,
+    knee: f64,
+    cold_from: f64,
+    cold: f64,
+}
+
+#[derive(Deserialize)]
+struct Choking {
+    at: f64,
+    over: f64,
+    slower: f64,
+    rest: f64,
+    below: f64,
+    most: f64,
+}
+
+#[derive(Deserialize)]
+struct Server {
+    tier: usize,
+    zone: usize,
+    speed: f64,
+}
+
+#[derive(Deserialize)]
+struct Balancer {
+    tier: usize,
+    zone: usize,
+}
+
+#[derive(Deserialize)]
+struct Trouble {
+    kind: String,
+    at: f64,
+    len: f64,
+    #[serde(default)]
+    tier: usize,
+    #[serde(default)]
+    size: f64,
+    #[serde(default)]
+    on: Vec<usize>,
+    #[serde(default)]
+    which: usize,
+}
+
+fn ms(us: f64) -> f64 {
+    us / 1e3
+}
+
+/// The figures of a day; troubles that the lab does not know are named in the second part.
+pub(super) fn figures(text: &str) -> Result<(Figures, Vec<String>), NoDay> {
+    let day: Day = serde_json::from_str(text)?;
+    let wrong = |why: &str| Err(NoDay::Sense(why.to_string()));
+    if day.tiers.is_empty() || day.classes.is_empty() || day.zones.is_empty() {
+        return wrong("a day needs tiers, classes and zones");
+    }
+    if day.servers.iter().any(|s| s.tier >= day.tiers.len() || s.zone >= day.zones.len()) {
+        return wrong("servers: a tier or zone that is not there");
+    }
+    let mut places: Vec<Vec<Place>> = day.tiers.iter().map(|_| Vec::new()).collect();
+    // A number of the file's list of servers, to the lab's: by tiers, in the order of the file.
+    let mut within: Vec<(usize, usize)> = Vec::new();
+    for server in &day.servers {
+        within.push((server.tier, places[server.tier].len()));
+        places[server.tier].push(Place { zone: server.zone, speed: server.speed });
+    }
+    if places.iter().any(Vec::is_empty) {
+        return wrong("servers: a tier has none");
+    }
+    let starts: Vec<usize> = (0..places.len()).map(|t| places[..t].iter().map(Vec::len).sum()).collect();
+    let tiers: Vec<TierOf> = (day.tiers.iter().enumerate())
+        .map(|(i, tier)| {
+            // The file states the work of one call to a tier; the lab that of all that a client's call makes there.
+            let calls: f64 = day.tiers[..=i].iter().map(|t| t.calls).product();
+            let kind = tier.kinds.first().ok_or_else(|| NoDay::Sense(format!("{}: no kinds", tier.name)))?;
+            Ok(TierOf {
+                name: tier.name.clone(),
+                kind: machine(kind, tier.choke.as_ref()),
+                places: std::mem::take(&mut places[i]),
+                part: tier.work * calls,
+                // The file states how often a tier is called by the one above.
+                calls: day.tiers.get(i + 1).map_or(0.0, |below| below.calls),
+            })
+        })
+        .collect::<Result<_, NoDay>>()?;
+    let classes: Vec<ClassOf> = day.classes.iter().map(class).collect();
+    let proxies = day.balancers.iter().filter(|b| b.tier == 0).map(|b| b.zone % day.zones.len()).collect();
+    let mut unknown = Vec::new();
+    let mut failures = Vec::new();
+    for trouble in &day.troubles {
+        let what = match trouble.kind.as_str() {
+            "shared_slow" => What::Slow,
+            "crash" => What::Crash,
+            "zone_loss" => What::LoseZone,
+            "burst" => What::Burst,
+            other => {
+                unknown.push(other.to_string());
+                continue;
+            }
+        };
+        let on =
+            trouble.on.iter().filter_map(|s| within.get(*s)).map(|(tier, n)| starts[*tier] + n).collect();
+        failures.push(FailureOf {
+            what,
+            at: ms(trouble.at),
+            lasts: ms(trouble.len),
+            zone: trouble.which % day.zones.len(),
+            tier: trouble.tier.min(day.tiers.len() - 1),
+            part: 1.0,
+            times: trouble.size,
+            on,
+        });
+    }
+    let mut figures = Figures {
+        length: ms(day.length),
+        zones: day.zones.len(),
+        zone_share: day.traffic.zone_share,
+        proxies,
+        tiers,
+        classes,
+        tenants: Vec::new(),
+        over_share_worth: day.traffic.over_share_worth,
+        rate: 0.0,
+        swing: 0.0,
+        period: 1.0,
+        shape: day.traffic.shape.iter().map(|(from_s, times)| (from_s * 1e3, *times)).collect(),
+        retries: day.clients.retries,
+        wait: if day.clients.backoff == "none" { 0.0 } else { ms(day.clients.backoff_us) },
+        try_part: day.clients.try_share,
+        honour: day.clients.honour,
+        same_zone: ms(day.net.same),
+        cross_zone: ms(day.net.cross),
+        client: ms(day.net.client),
+        notice: ms(day.discovery.notice),
+        silent_notice: ms(day.discovery.silent_notice),
+        add_notice: ms(day.discovery.add),
+        front_notice: ms(day.front_notice),
+        failures,
+    };
+    let capacity = figures.capacity();
+    figures.rate = day.traffic.load * capacity;
+    figures.tenants = (day.tenants.into_iter())
+        .map(|t| TenantOf { name: t.name, traffic: t.traffic, quota: t.quota * capacity })
+        .collect();
+    Ok((figures, unknown))
+}
+
+fn machine(kind: &MachineKind, choke: Option<&Choking>) -> Kind {
+    Kind {
+        cores: kind.cores.max(1),
+        speed: 1.0,
+        slots: kind.slots.max(1),
+        room: kind.queue,
+        thrash_at: kind.knee / kind.cores.max(1) as f64,
+        thrash_to: (1.0 - kind.thrash).clamp(1e-3, 1.0),
+        cold_from: kind.cold_from.clamp(1e-3, 1.0),
+        cold: ms(kind.cold),
+        choke: choke.map(|c| Choke {
+            at: c.at,
+            over: ms(c.over),
+            slower: c.slower,
+            below: c.below,
+            rest: ms(c.rest),
+            most: ms(c.most),
+        }),
+    }
+}
+
+fn class(class: &Class) -> ClassOf {
+    ClassOf {
+        name: class.name.clone(),
+        share: class.share,
+        work: ms(class.work),
+        shape: match class.dist.as_str() {
+            "fixed" => Shape::Fixed,
+            "lognormal" => Shape::Lognormal,
+            _ => Shape::Exp,
+        },
+        cv: class.cv,
+        noise: class.attempt_noise,
+        aim: ms(class.aim),
+        deadline: ms(class.deadline),
+        worth: class.worth,
+        repeats: match class.effect.as_str() {
+            "safe" => Repeats::Safe,
+            "keyed" => Repeats::Keyed,
+            _ => Repeats::Once,
+        },
+    }
+}
--- a/crates/lab/src/sim/failures.rs
+++ b/crates/lab/src/sim/failures.rs
@@ -12,6 +12,9 @@
     /// The machines of a tier that a failure is about: a part of them, from the first on, and at least one.
     fn meant(&self, index: usize) -> Vec<usize> {
         let failure = &self.figures.failures[index];
+        if !failure.on.is_empty() {
+            return failure.on.clone();
+        }
         let all = &self.tiers[failure.tier];
         let count = ((failure.part * all.len() as f64).round() as usize).clamp(1, all.len());
         all[..count].to_vec()
@@ -31,7 +34,11 @@
                 }
             }
             What::Slow => {
-                for machine in self.tiers[failure.tier].clone() {
+                let machines = match failure.on.is_empty() {
+                    true => self.tiers[failure.tier].clone(),
+                    false => failure.on.clone(),
+                };
+                for machine in machines {
                     let times = if begins { times.max(1e-3) } else { 1.0 };
                     self.hosts[machine].machine.slow(self.now, times, &mut self.done);
                     self.worked(machine);
@@ -66,6 +73,7 @@
                 for proxy in 0..self.proxies.len() {
                     if self.proxies[proxy].zone == zone && self.proxies[proxy].tier == 0 {
                         self.proxies[proxy].alive = !begins;
+                        self.proxies[proxy].gone_at = self.now;
                         if begins {
                             self.abandon(proxy);
                         }
@@ -100,18 +108,21 @@
         self.hosts[machine].life += 1;
         self.hosts[machine].stamp += 1;
         self.lose_held(machine, reset);
-        self.changed(machine, BackendState::Gone);
+        let notice = if reset { self.figures.notice } else { self.figures.silent_notice };
+        self.changed(machine, BackendState::Gone, notice);
     }
 
     fn revive(&mut self, machine: usize) {
         self.hosts[machine].machine.start(self.now);
         self.hosts[machine].started_at = Some(self.now);
-        self.changed(machine, BackendState::Ready);
+        self.changed(machine, BackendState::Ready, self.figures.add_notice);
     }
 
     pub(super) fn release_step(&mut self, machine: usize, step: Step) {
         match step {
-            Step::Drain if self.is_ready(machine) => self.changed(machine, BackendState::Draining),
+            Step::Drain if self.is_ready(machine) => {
+                self.changed(machine, BackendState::Draining, self.figures.notice);
+            }
             Step::Drain => {}
             // A machine that something else took down meanwhile is not started again here.
             Step::Stop if self.hosts[machine].state == BackendState::Draining => {
@@ -129,9 +140,9 @@
     }
 
     /// The list changes; the proxies are told after a while.
-    fn changed(&mut self, machine: usize, state: BackendState) {
+    fn changed(&mut self, machine: usize, state: BackendState, notice: f64) {
         self.hosts[machine].state = state;
-        self.queue.put(self.now + self.figures.notice, Happening::Told { machine });
+        self.queue.put(self.now + notice, Happening::Told { machine });
     }
 
     pub(super) fn told(&mut self, machine: usize) {
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -3,14 +3,16 @@
 
 mod attempts;
 mod clients;
+mod day;
 mod failures;
 mod queue;
 mod setup;
 mod tally;
 
+pub use day::NoDay;
 pub use tally::{Ended, Second, Tally};
 
-use crate::model::machine::{Job, Machine};
+use crate::model::machine::{Job, Kind, Machine};
 use crate::policy::{Named, Policy};
 use crate::scenario::Scenario;
 use hillstall_module::api::{Action, BackendInfo, BackendState, Event, ListKind};
@@ -45,6 +47,8 @@
     tier: usize,
     zone: usize,
     alive: bool,
+    /// Since when it is gone.
+    gone_at: f64,
 }
 
 #[derive(Clone, Copy)]
@@ -57,6 +61,7 @@
     proxy: usize,
     caller: Caller,
     class: usize,
+    tenant: usize,
     work: f64,
     give_up_at: f64,
     attempts: u32,
@@ -84,7 +89,9 @@
 
 struct Call {
     class: usize,
+    tenant: usize,
     work: f64,
+    worth: f64,
     first_at: f64,
     deadline_at: f64,
     zone: usize,
@@ -110,6 +117,8 @@
     network: Xoshiro256PlusPlus,
     burst: f64,
     discovery_down: bool,
+    /// What is left of each tenant's share at this moment, in calls, and since when.
+    shares: Vec<(f64, f64)>,
     untold: Vec<usize>,
     done: Vec<Job>,
     tally: Tally,
@@ -118,7 +127,17 @@
 
 /// Runs a scenario under a policy in simulated time.
 pub fn run(scenario: &Scenario, policy: Named, seed: u64) -> Tally {
-    let mut world = World::new(setup::draw(scenario, seed), policy, seed);
+    play(setup::draw(scenario, seed), policy, seed)
+}
+
+/// Plays a day of the bench. The second part names the troubles that the lab has no model for.
+pub fn run_day(text: &str, policy: Named, seed: u64) -> Result<(Tally, Vec<String>), NoDay> {
+    let (figures, unknown) = day::figures(text)?;
+    Ok((play(figures, policy, seed), unknown))
+}
+
+fn play(figures: Figures, policy: Named, seed: u64) -> Tally {
+    let mut world = World::new(figures, policy, seed);
     while let Some((at, what)) = world.queue.next() {
         world.now = at;
         world.happen(what);
@@ -151,6 +170,7 @@
             network: setup::chance(seed, Stream::Network),
             burst: 1.0,
             discovery_down: false,
+            shares: figures.tenants.iter().map(|t| (t.quota, 0.0)).collect(),
             untold: Vec::new(),
             done: Vec::new(),
             tally: Tally::new(policy.name(), seed, figures.length),
@@ -165,11 +185,11 @@
         let mut seeds = setup::chance(seed, Stream::Policies);
         for (tier, of) in self.figures.tiers.iter().enumerate() {
             let first = self.hosts.len();
-            for i in 0..of.servers {
+            for place in &of.places {
                 self.hosts.push(Host {
-                    machine: Machine::new(of.kind),
+                    machine: Machine::new(Kind { speed: place.speed, ..of.kind }),
                     tier,
-                    zone: i % self.figures.zones,
+                    zone: place.zone,
                     state: BackendState::Ready,
                     started_at: None,
                     life: 0,
@@ -184,11 +204,11 @@
         for tier in 0..self.tiers.len() {
             // The first tier's proxies stand alone; each machine has one of its own to the next tier.
             let owners: Vec<Option<usize>> = match tier {
-                0 => vec![None; self.figures.proxies],
+                0 => vec![None; self.figures.proxies.len()],
                 _ => self.tiers[tier - 1].iter().copied().map(Some).collect(),
             };
             for (rank, owner) in owners.iter().enumerate() {
-                let zone = owner.map_or(rank % self.figures.zones, |host| self.hosts[host].zone);
+                let zone = owner.map_or_else(|| self.figures.proxies[rank], |host| self.hosts[host].zone);
                 let settings = self.figures.settings(tier, rank, owners.len(), zone);
                 let number = self.proxies.len();
                 self.proxies.push(Proxy {
@@ -196,6 +216,7 @@
                     tier,
                     zone,
                     alive: true,
+                    gone_at: f64::MIN,
                 });
                 self.before[tier].push(number);
                 if let Some(host) = *owner {
@@ -285,7 +306,8 @@
         }
         self.looked_at = self.now;
         let kind = &self.figures.tiers[0].kind;
-        let whole = self.tiers[0].len() as f64 * kind.cores as f64 * kind.speed;
+        let speed: f64 = self.figures.tiers[0].places.iter().map(|p| p.speed).sum();
+        let whole = kind.cores as f64 * speed;
         let hosts = || self.tiers[0].iter().map(|h| &self.hosts[*h]).filter(|h| !h.lost);
         let able: f64 = hosts().map(|h| h.machine.capacity(self.now)).sum();
         let choked = hosts().filter(|h| h.machine.is_choked()).count() as u64;
--- a/crates/lab/src/sim/setup.rs
+++ b/crates/lab/src/sim/setup.rs
@@ -4,7 +4,7 @@
 use crate::model::work::Shape;
 use crate::scenario::{Repeats, Scenario, What};
 use hillstall_module::api::{
-    Allowed, Class, Effect, Objective, Prices, ReportVia, Rules, Scope, Settings, Weights,
+    Allowed, Class, Effect, Objective, Prices, ReportVia, Rules, Scope, Settings, Tenant, Weights,
 };
 use rand_xoshiro::rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -30,15 +30,31 @@
     pub(super) work: f64,
     pub(super) shape: Shape,
     pub(super) cv: f64,
+    /// How far one attempt's work is off the call's: coefficient of variation.
+    pub(super) noise: f64,
     pub(super) aim: f64,
     pub(super) deadline: f64,
     pub(super) worth: f64,
     pub(super) repeats: Repeats,
 }
 
+/// Where a machine stands, and how fast it is.
+pub(super) struct Place {
+    pub(super) zone: usize,
+    pub(super) speed: f64,
+}
+
+pub(super) struct TenantOf {
+    pub(super) name: String,
+    /// Its part of the calls, against the others' parts.
+    pub(super) traffic: f64,
+    /// Calls a second within its share.
+    pub(super) quota: f64,
+}
+
 pub(super) struct TierOf {
     pub(super) name: String,
-    pub(super) servers: usize,
+    pub(super) places: Vec<Place>,
     pub(super) kind: Kind,
     pub(super) part: f64,
     pub(super) calls: f64,
@@ -52,18 +68,27 @@
     pub(super) tier: usize,
     pub(super) part: f64,
     pub(super) times: f64,
+    /// The machines it is about, where they are named one by one.
+    pub(super) on: Vec<usize>,
 }
 
 /// The figures of one run.
 pub(super) struct Figures {
     pub(super) length: f64,
     pub(super) zones: usize,
-    pub(super) proxies: usize,
+    /// The zones' parts of the clients.
+    pub(super) zone_share: Vec<f64>,
+    /// The zone of each proxy before the first tier.
+    pub(super) proxies: Vec<usize>,
     pub(super) tiers: Vec<TierOf>,
     pub(super) classes: Vec<ClassOf>,
+    pub(super) tenants: Vec<TenantOf>,
+    pub(super) over_share_worth: f64,
     pub(super) rate: f64,
     pub(super) swing: f64,
     pub(super) period: f64,
+    /// From which time on (ms) the rate is so many times itself.
+    pub(super) shape: Vec<(f64, f64)>,
     pub(super) retries: u32,
     pub(super) wait: f64,
     pub(super) try_part: f64,
@@ -72,6 +97,12 @@
     pub(super) cross_zone: f64,
     pub(super) client: f64,
     pub(super) notice: f64,
+    /// Until proxies know that a machine is silent.
+    pub(super) silent_notice: f64,
+    /// Until proxies know of a start.
+    pub(super) add_notice: f64,
+    /// Until clients are sent past proxies that are gone.
+    pub(super) front_notice: f64,
     pub(super) failures: Vec<FailureOf>,
 }
 
@@ -82,7 +113,9 @@
             let (servers, kind) = tier.draw(rng);
             let last = i + 1 == scenario.tiers.len();
             let calls = if last { 0.0 } else { tier.calls.draw(rng) };
-            TierOf { name: tier.name.clone(), servers, kind, part: tier.work_part.draw(rng), calls }
+            let places =
+                (0..servers).map(|n| Place { zone: n % scenario.zones, speed: kind.speed }).collect();
+            TierOf { name: tier.name.clone(), places, kind, part: tier.work_part.draw(rng), calls }
         })
         .collect();
     let classes: Vec<ClassOf> = (scenario.classes.iter())
@@ -92,23 +125,13 @@
             work: class.work.0.draw(rng),
             shape: class.shape,
             cv: class.cv.draw(rng),
+            noise: 0.0,
             aim: class.aim.0.draw(rng),
             deadline: class.deadline.0.draw(rng),
             worth: class.worth.draw(rng),
             repeats: class.repeats,
         })
         .collect();
-    let shares: f64 = classes.iter().map(|c| c.share).sum();
-    let mean_work: f64 = classes.iter().map(|c| c.share / shares.max(1e-9) * c.work).sum();
-    // The tier that is full first says what the fleet can do.
-    let capacity = |tier: &TierOf| {
-        tier.servers as f64 * tier.kind.cores as f64 * tier.kind.speed / (mean_work * tier.part).max(1e-9)
-    };
-    let capacity = tiers.iter().map(capacity).fold(f64::MAX, f64::min) * 1e3;
-    let rate = match (scenario.load.rate, scenario.load.of_capacity) {
-        (Some(rate), _) => rate.draw(rng),
-        (None, part) => part.map_or(0.0, |part| part.draw(rng)) * capacity,
-    };
     let failures = (scenario.failures.iter())
         .map(|f| FailureOf {
             what: f.what,
@@ -118,17 +141,24 @@
             tier: f.tier,
             part: f.part.draw(rng).min(1.0),
             times: f.times.draw(rng),
+            on: Vec::new(),
         })
         .collect();
-    Figures {
+    let notice = scenario.discovery.notice.0.draw(rng);
+    let proxies = scenario.proxies.draw(rng).round().max(1.0) as usize;
+    let mut figures = Figures {
         length: scenario.length.0.draw(rng),
         zones: scenario.zones,
-        proxies: scenario.proxies.draw(rng).round().max(1.0) as usize,
+        zone_share: vec![1.0; scenario.zones],
+        proxies: (0..proxies).map(|rank| rank % scenario.zones).collect(),
         tiers,
         classes,
-        rate,
+        tenants: Vec::new(),
+        over_share_worth: 1.0,
+        rate: 0.0,
         swing: scenario.load.swing.draw(rng).min(1.0),
         period: scenario.load.period.0.draw(rng).max(1.0),
+        shape: Vec::new(),
         retries: scenario.clients.retries.draw(rng) as u32,
         wait: scenario.clients.wait.0.draw(rng),
         try_part: scenario.clients.try_part.draw(rng).clamp(0.01, 1.0),
@@ -136,12 +166,36 @@
         same_zone: scenario.net.same_zone.0.draw(rng),
         cross_zone: scenario.net.cross_zone.0.draw(rng),
         client: scenario.net.client.0.draw(rng),
-        notice: scenario.discovery.notice.0.draw(rng),
+        notice,
+        silent_notice: notice,
+        add_notice: notice,
+        front_notice: 0.0,
         failures,
-    }
+    };
+    figures.rate = match (scenario.load.rate, scenario.load.of_capacity) {
+        (Some(rate), _) => rate.draw(rng),
+        (None, part) => part.map_or(0.0, |part| part.draw(rng)) * figures.capacity(),
+    };
+    figures
 }
 
 impl Figures {
+    /// Calls a second that the fleet can do: the tier that is full first says so.
+    pub(super) fn capacity(&self) -> f64 {
+        let shares: f64 = self.classes.iter().map(|c| c.share).sum();
+        let mean_work: f64 = self.classes.iter().map(|c| c.share / shares.max(1e-9) * c.work).sum();
+        let able = |tier: &TierOf| {
+            let speed: f64 = tier.places.iter().map(|p| p.speed).sum();
+            speed * tier.kind.cores as f64 / (mean_work * tier.part).max(1e-9)
+        };
+        self.tiers.iter().map(able).fold(f64::MAX, f64::min) * 1e3
+    }
+
+    /// How many times its usual the rate is, by the shape.
+    pub(super) fn factor(&self, now: f64) -> f64 {
+        self.shape.iter().take_while(|(from, _)| *from <= now).last().map_or(1.0, |(_, times)| *times)
+    }
+
     /// What a proxy is told of the deployment.
     pub(super) fn settings(&self, tier: usize, rank: usize, copies: usize, zone: usize) -> Settings {
         let kind = &self.tiers[tier].kind;
@@ -161,6 +215,8 @@
             window_ms: 2_500.0,
             streaming: false,
         };
+        let tenant =
+            |t: &TenantOf| Tenant { name: t.name.clone(), allowance_per_s: t.quota, fraction: t.traffic };
         Settings {
             rank: rank as u32,
             fleet_size: copies as u32,
@@ -175,13 +231,13 @@
             marks_retry: true,
             must_subscribe: false,
             worth_by_work: true,
-            over_share_worth: 1.0,
+            over_share_worth: self.over_share_worth,
             tick_ms: 2.0,
             weights: Weights::Off,
             report: Vec::new(),
             report_via: ReportVia::Off,
             classes: self.classes.iter().map(class).collect(),
-            tenants: Vec::new(),
+            tenants: self.tenants.iter().map(tenant).collect(),
             rules: Rules {
                 answer_grace_ms: 100.0,
                 drain_grace_ms: 2_000.0,
