--- a/crates/lab/src/sim/attempts.rs
+++ b/crates/lab/src/sim/attempts.rs
@@ -158,6 +158,12 @@
         let tier = self.hosts[machine].tier;
         let all = self.figures.tiers[tier].calls.max(1.0).max(calls);
         self.attempts[attempt].below = Some(self.asks.len());
+        let work = if self.figures.own_work {
+            let class = &self.figures.classes[whose.0];
+            work::draw(class.shape, class.work, class.cv, &mut self.network)
+        } else {
+            work
+        };
         self.ask(proxy, Caller::Machine { attempt }, whose, work / all, ttl.max(0.0));
     }
 
--- a/crates/lab/src/sim/clients.rs
+++ b/crates/lab/src/sim/clients.rs
@@ -22,19 +22,6 @@
 }
 
 impl World {
-    /// Whether a tenant's call is within its share: a bucket that a second's share fills.
-    fn within_share(&mut self, tenant: usize) -> bool {
-        let Some(quota) = self.figures.tenants.get(tenant).map(|t| t.quota) else { return true };
-        let (left, at) = &mut self.shares[tenant];
-        *left = (*left + quota * (self.now - *at) / 1e3).min(quota);
-        *at = self.now;
-        let within = *left >= 1.0;
-        if within {
-            *left -= 1.0;
-        }
-        within
-    }
-
     /// A Poisson process whose rate changes: drawn at the highest rate, and thinned.
     pub(super) fn arrive(&mut self) {
         let most_burst = self.figures.failures.iter().map(|f| f.times).fold(1.0, f64::max);
@@ -62,12 +49,10 @@
     fn call(&mut self, class: f64, mut size: Xoshiro256PlusPlus, zone: f64, tenant: f64) {
         let class = drawn(class, self.figures.classes.iter().map(|c| c.share));
         let tenant = drawn(tenant, self.figures.tenants.iter().map(|t| t.traffic));
-        let within = self.within_share(tenant);
         let of = &self.figures.classes[class];
         let work = work::draw(of.shape, of.work, of.cv, &mut size);
-        let part = if within { 1.0 } else { self.figures.over_share_worth };
-        let worth = part * of.worth * work / of.work.max(1e-9);
-        self.tally.asked(self.now, worth);
+        let worth = of.worth * work / of.work.max(1e-9);
+        self.tally.asked(self.now, tenant, worth);
         self.calls.push(Call {
             class,
             tenant,
@@ -158,9 +143,9 @@
                 let of = &mut self.calls[call];
                 of.closed = true;
                 let latency_ms = self.now - of.first_at;
-                let (first_at, worth) = (of.first_at, of.worth);
+                let (first_at, tenant, worth) = (of.first_at, of.tenant, of.worth);
                 let in_aim = latency_ms <= self.figures.classes[of.class].aim;
-                self.tally.ended(first_at, worth, Ended::Answered { latency_ms, in_aim });
+                self.tally.ended(first_at, (tenant, worth), Ended::Answered { latency_ms, in_aim });
             }
             End::Refused => self.next_try(call, Ended::Refused, come_back),
             End::Failed => self.next_try(call, Ended::Failed, 0.0),
@@ -176,7 +161,7 @@
         if of.no > self.figures.retries || self.now + wait >= of.deadline_at {
             of.closed = true;
             let first_at = of.first_at;
-            return self.tally.ended(first_at, 0.0, ended);
+            return self.tally.ended(first_at, (0, 0.0), ended);
         }
         if wait <= 0.0 {
             return self.make_try(call);
--- a/crates/lab/src/sim/day.rs
+++ b/crates/lab/src/sim/day.rs
@@ -233,6 +233,7 @@
         classes,
         tenants: Vec::new(),
         over_share_worth: day.traffic.over_share_worth,
+        own_work: true,
         rate: 0.0,
         swing: 0.0,
         period: 1.0,
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -117,8 +117,6 @@
     network: Xoshiro256PlusPlus,
     burst: f64,
     discovery_down: bool,
-    /// What is left of each tenant's share at this moment, in calls, and since when.
-    shares: Vec<(f64, f64)>,
     untold: Vec<usize>,
     done: Vec<Job>,
     tally: Tally,
@@ -170,10 +168,9 @@
             network: setup::chance(seed, Stream::Network),
             burst: 1.0,
             discovery_down: false,
-            shares: figures.tenants.iter().map(|t| (t.quota, 0.0)).collect(),
             untold: Vec::new(),
             done: Vec::new(),
-            tally: Tally::new(policy.name(), seed, figures.length),
+            tally: Tally::new(policy.name(), seed, figures.length, figures.shares()),
             looked_at: f64::MIN,
             figures,
         };
--- a/crates/lab/src/sim/setup.rs
+++ b/crates/lab/src/sim/setup.rs
@@ -1,5 +1,6 @@
 //! From a scenario and a seed to the figures of one run, and what each proxy is told of it.
 
+use super::tally::Shares;
 use crate::model::machine::Kind;
 use crate::model::work::Shape;
 use crate::scenario::{Repeats, Scenario, What};
@@ -84,6 +85,8 @@
     pub(super) classes: Vec<ClassOf>,
     pub(super) tenants: Vec<TenantOf>,
     pub(super) over_share_worth: f64,
+    /// Whether a call's work at a lower tier is drawn anew, or goes by the work of the call that makes it.
+    pub(super) own_work: bool,
     pub(super) rate: f64,
     pub(super) swing: f64,
     pub(super) period: f64,
@@ -155,6 +158,7 @@
         classes,
         tenants: Vec::new(),
         over_share_worth: 1.0,
+        own_work: false,
         rate: 0.0,
         swing: scenario.load.swing.draw(rng).min(1.0),
         period: scenario.load.period.0.draw(rng).max(1.0),
@@ -191,6 +195,16 @@
         self.tiers.iter().map(able).fold(f64::MAX, f64::min) * 1e3
     }
 
+    /// The tenants' shares in worth a second, and what worth beyond them counts.
+    pub(super) fn shares(&self) -> Shares {
+        let shares: f64 = self.classes.iter().map(|c| c.share).sum();
+        let worth: f64 = self.classes.iter().map(|c| c.share / shares.max(1e-9) * c.worth).sum();
+        Shares {
+            quotas: self.tenants.iter().map(|t| t.quota * worth).collect(),
+            beyond: self.over_share_worth,
+        }
+    }
+
     /// How many times its usual the rate is, by the shape.
     pub(super) fn factor(&self, now: f64) -> f64 {
         self.shape.iter().take_while(|(from, _)| *from <= now).last().map_or(1.0, |(_, times)| *times)
--- a/crates/lab/src/sim/tally.rs
+++ b/crates/lab/src/sim/tally.rs
@@ -9,6 +9,26 @@
 /// Longest latency that is told apart, in microseconds.
 const LONGEST_US: u64 = 600_000_000;
 
+/// Seconds over which a tenant's worth is held against its share.
+const SHARE_OVER: usize = 5;
+
+/// The tenants' shares. Worth that a tenant asks for, or is served, beyond its share counts as a part of it only; it
+/// is not single calls that lie beyond.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Shares {
+    /// Worth a second; empty where there are no tenants.
+    pub(super) quotas: Vec<f64>,
+    /// The part that counts of what goes beyond.
+    pub(super) beyond: f64,
+}
+
+impl Shares {
+    fn counted(&self, tenant: usize, worth: f64, seconds: f64) -> f64 {
+        let share = self.quotas.get(tenant).map_or(f64::MAX, |quota| quota * seconds);
+        worth.min(share) + self.beyond * (worth - share).max(0.0)
+    }
+}
+
 /// How a call ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ended {
@@ -54,6 +74,9 @@
     pub p50_ms: f64,
     /// 99th percentile, in milliseconds.
     pub p99_ms: f64,
+    /// Of each tenant: worth asked for, and worth answered within the aim.
+    #[serde(skip)]
+    tenants: Vec<[f64; 2]>,
     #[serde(skip)]
     samples: u64,
     #[serde(skip)]
@@ -104,6 +127,8 @@
     histogram: Option<Histogram<u64>>,
     #[serde(skip)]
     all_attempts: u64,
+    #[serde(skip)]
+    shares: Shares,
 }
 
 impl Tally {
@@ -117,7 +142,7 @@
 }
 
 impl Tally {
-    pub(super) fn new(policy: &str, seed: u64, length_ms: f64) -> Tally {
+    pub(super) fn new(policy: &str, seed: u64, length_ms: f64, shares: Shares) -> Tally {
         let seconds = (length_ms / 1e3).ceil().max(1.0) as usize;
         Tally {
             cell: String::new(),
@@ -137,9 +162,13 @@
             chokes: 0,
             late_sends: 0,
             wrong_answers: 0,
-            seconds: vec![Second::default(); seconds],
+            seconds: vec![
+                Second { tenants: vec![[0.0; 2]; shares.quotas.len().max(1)], ..Second::default() };
+                seconds
+            ],
             histogram: Histogram::new_with_max(LONGEST_US, 3).ok(),
             all_attempts: 0,
+            shares,
         }
     }
 
@@ -148,10 +177,10 @@
         &mut self.seconds[((at_ms / 1e3) as usize).min(last)]
     }
 
-    pub(super) fn asked(&mut self, at_ms: f64, worth: f64) {
+    pub(super) fn asked(&mut self, at_ms: f64, tenant: usize, worth: f64) {
         let second = self.second(at_ms);
         second.offered += 1;
-        second.worth += worth;
+        second.tenants[tenant][0] += worth;
     }
 
     pub(super) fn tried(&mut self, at_ms: f64) {
@@ -172,13 +201,13 @@
         second.choked = second.choked.max(choked);
     }
 
-    pub(super) fn ended(&mut self, first_at_ms: f64, worth: f64, ended: Ended) {
+    pub(super) fn ended(&mut self, first_at_ms: f64, (tenant, worth): (usize, f64), ended: Ended) {
         let second = self.second(first_at_ms);
         match ended {
             Ended::Answered { latency_ms, in_aim } => {
                 if in_aim {
                     second.in_aim += 1;
-                    second.earned += worth;
+                    second.tenants[tenant][1] += worth;
                 } else {
                     second.late += 1;
                 }
@@ -192,9 +221,27 @@
         }
     }
 
+    /// Counts each tenant's worth as far as its share goes, over some seconds at a time, and spreads it over them.
+    fn count_worth(&mut self) {
+        let shares = std::mem::take(&mut self.shares);
+        for stretch in self.seconds.chunks_mut(SHARE_OVER) {
+            for tenant in 0..shares.quotas.len().max(1) {
+                let part = [0, 1].map(|of| {
+                    let worth: f64 = stretch.iter().map(|s| s.tenants[tenant][of]).sum();
+                    shares.counted(tenant, worth, stretch.len() as f64) / worth.max(1e-9)
+                });
+                for second in stretch.iter_mut() {
+                    second.worth += part[0] * second.tenants[tenant][0];
+                    second.earned += part[1] * second.tenants[tenant][1];
+                }
+            }
+        }
+    }
+
     /// Sums up what was told.
     pub(super) fn close(mut self, chokes: u64) -> Tally {
         self.chokes = chokes;
+        self.count_worth();
         let sum = |f: fn(&Second) -> f64| self.seconds.iter().map(f).sum::<f64>();
         let offered = sum(|s| s.offered as f64).max(1.0);
         let (late, refused, failed) =
