--- a/crates/lab/src/sim/clients.rs
+++ b/crates/lab/src/sim/clients.rs
@@ -65,18 +65,24 @@
             ask: None,
             closed: false,
         });
-        self.make_try(self.calls.len() - 1);
+        self.make_try(self.calls.len() - 1, 0.0);
     }
 
-    fn make_try(&mut self, call: usize) {
-        let no = self.calls[call].no;
-        self.tally.tried(self.now);
-        self.queue.put(self.now + self.figures.client, Happening::Try { call, no });
-        let patience = self.figures.try_part * self.figures.classes[self.calls[call].class].deadline;
-        let over = (self.now + patience).min(self.calls[call].deadline_at);
+    /// A client sets out on a try after a wait. Its patience counts from when it sets out.
+    fn make_try(&mut self, call: usize, wait: f64) {
+        let of = &self.calls[call];
+        let (no, at) = (of.no, self.now + wait);
+        let over = (at + self.patience(of.class)).min(of.deadline_at);
+        self.tally.tried(at);
+        self.queue.put(at + self.figures.client, Happening::Try { call, no });
         self.queue.put(over, Happening::TryOver { call, no });
     }
 
+    /// How long a client of a class waits for one try.
+    fn patience(&self, class: usize) -> f64 {
+        self.figures.try_part * self.figures.classes[class].deadline
+    }
+
     /// A try comes to a proxy of its hall, or of another where that has none.
     pub(super) fn try_at_proxy(&mut self, call: usize, no: u32) {
         let of = &self.calls[call];
@@ -103,7 +109,7 @@
         if !self.proxies[proxy].alive {
             return;
         }
-        let patience = self.figures.try_part * self.figures.classes[class].deadline;
+        let patience = self.patience(class);
         // What is left when the answer must set out.
         let ttl = patience.min(deadline - self.now + self.figures.client) - 2.0 * self.figures.client;
         self.calls[call].ask = Some(self.asks.len());
@@ -163,15 +169,6 @@
             let first_at = of.first_at;
             return self.tally.ended(first_at, (0, 0.0), ended);
         }
-        if wait <= 0.0 {
-            return self.make_try(call);
-        }
-        let no = of.no;
-        // The wait is part of the try's way; its patience counts from when it sets out.
-        let deadline = of.deadline_at;
-        let patience = self.figures.try_part * self.figures.classes[of.class].deadline;
-        self.tally.tried(self.now + wait);
-        self.queue.put(self.now + wait + self.figures.client, Happening::Try { call, no });
-        self.queue.put((self.now + wait + patience).min(deadline), Happening::TryOver { call, no });
+        self.make_try(call, wait);
     }
 }
