--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -36,6 +36,11 @@
         Number { low: value, high: value }
     }
 
+    /// The most it can be.
+    fn most(self) -> f64 {
+        self.high
+    }
+
     /// The value of a run.
     pub fn draw(self, rng: &mut Xoshiro256PlusPlus) -> f64 {
         let part = (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
@@ -420,6 +425,24 @@
         if self.load.rate.is_some() == self.load.of_capacity.is_some() {
             return wrong("load".into(), "give either rate or of_capacity");
         }
+        // What goes beyond would not end, or not fit into memory; a slip of a unit is the likely cause.
+        let mut bounds = vec![
+            ("length".to_string(), self.length.0.most() / 1e3, 86_400.0, "s"),
+            ("proxies".to_string(), self.proxies.most(), 10_000.0, ""),
+            ("load.rate".to_string(), self.load.rate.map_or(0.0, Number::most), 1e6, "calls/s"),
+            ("load.of_capacity".to_string(), self.load.of_capacity.map_or(0.0, Number::most), 100.0, ""),
+        ];
+        for (i, tier) in self.tiers.iter().enumerate() {
+            bounds.push((format!("tier[{i}].servers"), tier.servers.most(), 10_000.0, ""));
+            bounds.push((format!("tier[{i}].cores"), tier.cores.most(), 1_024.0, ""));
+            bounds.push((format!("tier[{i}].calls"), tier.calls.most(), 100.0, ""));
+        }
+        for (i, failure) in self.failures.iter().enumerate() {
+            bounds.push((format!("failure[{i}].times"), failure.times.most(), 1_000.0, ""));
+        }
+        if let Some((key, value, most, unit)) = bounds.into_iter().find(|b| b.1 > b.2) {
+            return wrong(key, &format!("{value} {unit} is more than the {most} that can be run"));
+        }
         for (i, failure) in self.failures.iter().enumerate() {
             if failure.tier >= self.tiers.len() {
                 return wrong(format!("failure[{i}].tier"), "there is no such tier");
--- a/crates/lab/src/sim/day.rs
+++ b/crates/lab/src/sim/day.rs
@@ -167,6 +167,12 @@
     if day.tiers.is_empty() || day.classes.is_empty() || day.zones.is_empty() {
         return wrong("a day needs tiers, classes and zones");
     }
+    if !(0.0..=86_400e6).contains(&day.length) || day.classes.len() > 200 {
+        return wrong("length must be within a day, and classes at most 200");
+    }
+    if day.tiers.iter().any(|t| !(0.0..=100.0).contains(&t.calls)) {
+        return wrong("tiers: calls must be from 0 to 100");
+    }
     if day.servers.iter().any(|s| s.tier >= day.tiers.len() || s.zone >= day.zones.len()) {
         return wrong("servers: a tier or zone that is not there");
     }
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -74,5 +74,8 @@
     let mut nowhere = day();
     nowhere["servers"][0]["tier"] = json!(3);
     assert!(told(&nowhere).contains("servers"), "{}", told(&nowhere));
+    let mut endless = day();
+    endless["length"] = json!(1e300);
+    assert!(told(&endless).contains("length"), "{}", told(&endless));
     assert!(days("{", &[Named::Random], &[1]).is_err());
 }
--- a/crates/lab/tests/experiments.rs
+++ b/crates/lab/tests/experiments.rs
@@ -102,6 +102,10 @@
     );
     let range = told("of_capacity = [0.38, 0.46]", "of_capacity = [0.5, 0.4]");
     assert!(range.contains("0.5 to 0.4"), "{range}");
+    let endless = told("length = \"40s\"", "length = \"40y\"");
+    assert!(endless.contains("length: ") && endless.contains("86400"), "{endless}");
+    let crowd = told("servers = 12", "servers = 1e12");
+    assert!(crowd.contains("tier[0].servers: "), "{crowd}");
     let zone = Scenario::parse(&text.replacen("zone = 1", "zone = 2", 1));
     assert!(matches!(zone, Err(Invalid::Sense { ref key, .. }) if key == "failure[0].zone"), "{zone:?}");
 }
