--- a/crates/hillstall/src/lab.rs
+++ b/crates/hillstall/src/lab.rs
@@ -27,11 +27,7 @@
         #[arg(default_value = "lose-hall")]
         scenario: String,
         /// Policies
-        #[arg(
-            long,
-            value_delimiter = ',',
-            default_value = "hillstall,random,round-robin,least-outstanding,two-choices,oracle"
-        )]
+        #[arg(long, value_delimiter = ',', default_values_t = Named::ALL)]
         policy: Vec<Named>,
         /// How to run and where to write
         #[command(flatten)]
@@ -101,6 +97,12 @@
     json: Option<PathBuf>,
 }
 
+impl How {
+    fn seeds(&self) -> Vec<u64> {
+        (1..=self.seeds).collect()
+    }
+}
+
 /// Does it; an error says what is wrong with which file or key.
 pub fn run(lab: Lab) -> Result<(), String> {
     match lab {
@@ -114,14 +116,12 @@
             Ok(())
         }
         Lab::Run { scenario, policy, how } => {
-            let (name, text) = read(&scenario)?;
-            let scenario = Scenario::parse(&text).map_err(|why| format!("{name}: {why}"))?;
+            let (name, scenario) = parse(&scenario)?;
             let tallies = runs(&[(String::new(), scenario)], &policy, &how);
             show(&name, tallies, &how)
         }
         Lab::Compare { a, b, scenario, how } => {
-            let (name, text) = read(&scenario)?;
-            let scenario = Scenario::parse(&text).map_err(|why| format!("{name}: {why}"))?;
+            let (name, scenario) = parse(&scenario)?;
             let tallies = runs(&[(String::new(), scenario)], &[a, b], &how);
             let (first, second) = tallies.split_at(tallies.len() / 2);
             let gains = gains(first, second);
@@ -140,9 +140,8 @@
             for path in &days {
                 let text = std::fs::read_to_string(path).map_err(|e| at(path, &e))?;
                 let name = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
-                let seeds: Vec<u64> = (1..=how.seeds).collect();
                 let (runs, unknown) =
-                    experiment::days(&text, &policy, &seeds).map_err(|why| at(path, &why))?;
+                    experiment::days(&text, &policy, &how.seeds()).map_err(|why| at(path, &why))?;
                 unknown.iter().for_each(|kind| say(format!("{}: no model for {kind}", path.display())));
                 tallies.extend(in_cell(runs, &name));
             }
@@ -178,6 +177,13 @@
     }
 }
 
+/// A scenario's name, and the scenario.
+fn parse(scenario: &str) -> Result<(String, Scenario), String> {
+    let (name, text) = read(scenario)?;
+    let scenario = Scenario::parse(&text).map_err(|why| format!("{name}: {why}"))?;
+    Ok((name, scenario))
+}
+
 /// Runs that belong to one cell of a table.
 fn in_cell(mut tallies: Vec<Tally>, cell: &str) -> Vec<Tally> {
     tallies.iter_mut().for_each(|tally| tally.cell = cell.to_string());
@@ -185,7 +191,7 @@
 }
 
 fn runs(cells: &[(String, Scenario)], policies: &[Named], how: &How) -> Vec<Tally> {
-    let seeds: Vec<u64> = (1..=how.seeds).collect();
+    let seeds = how.seeds();
     let bar = ProgressBar::new((cells.len() * policies.len()) as u64 * how.seeds);
     let mut all = Vec::new();
     for (cell, scenario) in cells {
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -2,35 +2,30 @@
 
 use crate::policy::Named;
 use crate::scenario::{Invalid, Scenario};
-use crate::sim::{self, NoDay, Tally};
+use crate::sim::{self, Day, NoDay, Tally};
 use rayon::prelude::*;
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
 /// Runs each policy with each seed; the order of the results is that of the arguments, whichever run ends first.
 /// `ended` is called after each run.
 pub fn runs(scenario: &Scenario, policies: &[Named], seeds: &[u64], ended: impl Fn() + Sync) -> Vec<Tally> {
-    pairs(policies, seeds)
-        .into_par_iter()
-        .map(|(policy, seed)| {
-            let tally = sim::run(scenario, policy, seed);
-            ended();
-            tally
-        })
-        .collect()
-}
-
-fn pairs(policies: &[Named], seeds: &[u64]) -> Vec<(Named, u64)> {
-    policies.iter().flat_map(|policy| seeds.iter().map(|seed| (*policy, *seed))).collect()
+    each(policies, seeds, |policy, seed| {
+        let tally = sim::run(scenario, policy, seed);
+        ended();
+        tally
+    })
 }
 
 /// Plays a day of the bench with each policy and seed. The second part names the troubles without a model.
 pub fn days(text: &str, policies: &[Named], seeds: &[u64]) -> Result<(Vec<Tally>, Vec<String>), NoDay> {
-    let played: Vec<(Tally, Vec<String>)> = pairs(policies, seeds)
-        .into_par_iter()
-        .map(|(policy, seed)| sim::run_day(text, policy, seed))
-        .collect::<Result<_, NoDay>>()?;
-    let unknown = played.first().map(|(_, unknown)| unknown.clone()).unwrap_or_default();
-    Ok((played.into_iter().map(|(tally, _)| tally).collect(), unknown))
+    let day = Day::read(text)?;
+    Ok((each(policies, seeds, |policy, seed| day.run(policy, seed)), day.unknown))
+}
+
+fn each(policies: &[Named], seeds: &[u64], run: impl Fn(Named, u64) -> Tally + Sync) -> Vec<Tally> {
+    let pairs: Vec<(Named, u64)> =
+        policies.iter().flat_map(|policy| seeds.iter().map(|seed| (*policy, *seed))).collect();
+    pairs.into_par_iter().map(|(policy, seed)| run(policy, seed)).collect()
 }
 
 /// A mean, and how far off it may be at 95% confidence.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! die, clients that try again, and experiments that hold policies against each other.
 
 pub mod callers;
+mod chance;
 pub mod discovery;
 pub mod experiment;
 pub mod model;
--- a/crates/lab/src/model/machine.rs
+++ b/crates/lab/src/model/machine.rs
@@ -122,11 +122,6 @@
         self.up
     }
 
-    /// Whether it is silent: it takes calls and answers none.
-    pub fn is_hung(&self) -> bool {
-        self.hung
-    }
-
     /// Whether it is slower since it was crowded.
     pub fn is_choked(&self) -> bool {
         self.choked_since.is_some()
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -6,12 +6,10 @@
 use hillstall_module::Balancer;
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use serde::Deserialize;
 use std::collections::HashMap;
 
 /// The policies that can be held against each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Named {
     /// The decision module, as the proxy runs it.
     Hillstall,
@@ -60,6 +58,12 @@
     }
 }
 
+impl std::fmt::Display for Named {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        out.write_str(self.name())
+    }
+}
+
 impl std::str::FromStr for Named {
     type Err = String;
 
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -3,7 +3,6 @@
 use crate::experiment::Mean;
 use crate::sim::{Second, Tally};
 use plotters::prelude::*;
-use std::fmt::Write;
 
 /// Why a report can't be drawn.
 #[derive(Debug, thiserror::Error)]
@@ -39,26 +38,32 @@
     groups
 }
 
-/// A table with one line for each group of runs: means over the seeds, for the service with its 95% interval.
-pub fn table(groups: &[(String, Vec<Tally>)]) -> String {
-    let mut out = String::from("| runs | seeds | ");
-    out.push_str(&COLUMNS.map(|c| c.0).join(" | "));
-    out.push_str(" | broken rules |\n| --- |");
-    out.push_str(&" ---: |".repeat(COLUMNS.len() + 2));
-    out.push('\n');
+/// The heading and one line for each group of runs: means over the seeds, for the service with its 95% interval.
+fn rows(groups: &[(String, Vec<Tally>)]) -> Vec<Vec<String>> {
+    let named = COLUMNS.iter().map(|c| c.0);
+    let heading = ["runs", "seeds"].into_iter().chain(named).chain(["broken rules"]).map(String::from);
+    let mut rows = vec![heading.collect()];
     for (name, runs) in groups {
-        let _ = write!(out, "| {name} | {} |", runs.len());
+        let mut row = vec![name.clone(), runs.len().to_string()];
         for (i, (_, figure, decimals)) in COLUMNS.iter().enumerate() {
             let mean = Mean::of(&runs.iter().map(figure).collect::<Vec<_>>());
-            let _ = match i == 0 && mean.half.is_finite() {
-                true => write!(out, " {:.decimals$} ± {:.decimals$} |", mean.mean, mean.half),
-                false => write!(out, " {:.decimals$} |", mean.mean),
-            };
+            row.push(match i == 0 && mean.half.is_finite() {
+                true => format!("{:.decimals$} ± {:.decimals$}", mean.mean, mean.half),
+                false => format!("{:.decimals$}", mean.mean),
+            });
         }
-        let broken: u64 = runs.iter().map(|t| t.late_sends + t.wrong_answers).sum();
-        let _ = writeln!(out, " {broken} |");
+        row.push(runs.iter().map(|t| t.late_sends + t.wrong_answers).sum::<u64>().to_string());
+        rows.push(row);
     }
-    out
+    rows
+}
+
+/// A table for the terminal, in Markdown.
+pub fn table(groups: &[(String, Vec<Tally>)]) -> String {
+    let mut lines: Vec<String> =
+        rows(groups).iter().map(|row| format!("| {} |\n", row.join(" | "))).collect();
+    lines.insert(1, format!("| --- |{}\n", " ---: |".repeat(COLUMNS.len() + 2)));
+    lines.concat()
 }
 
 /// One curve: its name, and a value for each second.
@@ -106,18 +111,22 @@
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
 
+/// A part in points of 100; all where there is nothing to have a part of.
+fn percent(part: f64, whole: f64) -> f64 {
+    if whole > 0.0 {
+        100.0 * part / whole
+    } else {
+        100.0
+    }
+}
+
 /// One self-contained page: the table, and plots over time of the groups.
 pub fn html(title: &str, groups: &[(String, Vec<Tally>)]) -> Result<String, NoPlot> {
     let of = |figure: fn(&Second) -> f64| -> Vec<Curve> {
         groups.iter().map(|(name, runs)| (name.clone(), curve(runs, figure))).collect()
     };
-    let share = |part: f64, whole: f64| if whole > 0.0 { 100.0 * part / whole } else { 100.0 };
     let mut plots = vec![
-        plot(
-            "Service: worth within the aim",
-            "%",
-            &of(|s| if s.worth > 0.0 { 100.0 * s.earned / s.worth } else { 100.0 }),
-        )?,
+        plot("Service: worth within the aim", "%", &of(|s| percent(s.earned, s.worth)))?,
         plot("Latency, 99th percentile, from the intended start", "ms", &of(|s| s.p99_ms))?,
         plot("Turned away, after all tries", "calls/s", &of(|s| s.refused as f64))?,
         plot(
@@ -130,20 +139,18 @@
     if let Some((name, runs)) = groups.first() {
         let offered = curve(runs, |s| s.offered as f64);
         let peak = offered.iter().copied().fold(1.0, f64::max);
-        let load = offered.iter().map(|v| share(*v, peak)).collect();
+        let load = offered.iter().map(|v| percent(*v, peak)).collect();
         let able = curve(runs, |s| 100.0 * s.capacity);
         let curves =
             [(format!("what the first tier can do ({name})"), able), ("load, of its peak".into(), load)];
         plots.push(plot("Capacity against load", "%", &curves)?);
     }
-    let mut rows = String::new();
-    for (i, line) in table(groups).lines().enumerate().filter(|(i, _)| *i != 1) {
+    let line = |(i, row): (usize, &Vec<String>)| {
         let tag = if i == 0 { "th" } else { "td" };
-        let cells: String = (line.trim_matches('|').split('|'))
-            .map(|cell| format!("<{tag}>{}</{tag}>", escape(cell.trim())))
-            .collect();
-        let _ = writeln!(rows, "<tr>{cells}</tr>");
-    }
+        let cells: String = row.iter().map(|cell| format!("<{tag}>{}</{tag}>", escape(cell))).collect();
+        format!("<tr>{cells}</tr>\n")
+    };
+    let rows: String = rows(groups).iter().enumerate().map(line).collect();
     let title = escape(title);
     let plots = plots.join("\n");
     Ok(format!(
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -1,9 +1,9 @@
 //! An experiment as a TOML file: tiers, load, clients, discovery, and what goes wrong when. Any time or number may
 //! be a range `[low, high]`, of which each seed draws one value. Unknown keys and bad values are told with the line.
 
+use crate::chance::part;
 use crate::model::machine::{Choke, Kind};
 use crate::model::work::Shape;
-use rand_xoshiro::rand_core::RngCore;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use serde::{Deserialize, Deserializer};
 
@@ -43,8 +43,7 @@
 
     /// The value of a run.
     pub fn draw(self, rng: &mut Xoshiro256PlusPlus) -> f64 {
-        let part = (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
-        self.low + (self.high - self.low) * part
+        self.low + (self.high - self.low) * part(rng)
     }
 }
 
--- a/crates/lab/src/scenarios.rs
+++ b/crates/lab/src/scenarios.rs
@@ -17,9 +17,9 @@
     ALL.iter().find(|(known, _)| *known == name).map(|(_, text)| *text)
 }
 
-/// Text and scenario of one. An error would be a fault of this package: the tests read them all.
-pub fn find(name: &str) -> Result<(&'static str, Scenario), Invalid> {
+/// One of them, read. An error would be a fault of this package: the tests read them all.
+pub fn find(name: &str) -> Result<Scenario, Invalid> {
     let text =
         text(name).ok_or_else(|| Invalid::Sense { key: name.into(), why: "no such scenario".into() })?;
-    Ok((text, Scenario::parse(text)?))
+    Scenario::parse(text)
 }
--- a/crates/lab/src/sim/attempts.rs
+++ b/crates/lab/src/sim/attempts.rs
@@ -2,10 +2,11 @@
 
 use super::queue::{End, Happening};
 use super::setup::CONNECT_TIMEOUT;
-use super::{part, Ask, Attempt, Caller, World};
+use super::{Ask, Attempt, Caller, World};
+use crate::chance::part;
 use crate::model::machine::Taken;
 use crate::model::work::{self, Shape};
-use hillstall_module::api::{BackendId, BackendState, Event, Outcome, Report};
+use hillstall_module::api::{BackendId, Event, Outcome, Report};
 
 impl World {
     fn way(&self, proxy: usize, host: usize) -> f64 {
@@ -83,7 +84,6 @@
             ask,
             no: a.attempts,
             machine,
-            life: 0,
             sent_at: self.now,
             over: false,
             held: false,
@@ -115,7 +115,6 @@
             let outcome = Outcome::ConnectFailed;
             return self.queue.put(self.now + way, Happening::Back { attempt, outcome });
         }
-        self.attempts[attempt].life = host.life;
         match host.machine.offer(self.now, attempt as u64, work, &mut self.done) {
             Taken::Yes => self.attempts[attempt].held = true,
             Taken::Full => {
@@ -201,24 +200,17 @@
                 let of = &mut self.attempts[attempt];
                 of.below = None;
                 let (machine, work) = (of.machine, of.phase_work);
-                if !of.held || of.life != self.hosts[machine].life {
-                } else if end == End::Served {
+                if end != End::Served {
+                    self.finish(attempt, Outcome::Error);
+                } else if of.held {
                     let now = self.now;
                     self.hosts[machine].machine.resume(now, attempt as u64, work, &mut self.done);
                     self.worked(machine);
-                } else {
-                    self.finish(attempt, Outcome::Error);
                 }
             }
         }
     }
 
-    pub(super) fn back(&mut self, attempt: usize, outcome: Outcome) {
-        if !self.attempts[attempt].over {
-            self.end_attempt(attempt, outcome);
-        }
-    }
-
     pub(super) fn time_up(&mut self, attempt: usize) {
         if self.attempts[attempt].over {
             return;
@@ -259,6 +251,7 @@
         self.worked(machine);
     }
 
+    /// An attempt ends for its proxy, once; what comes after that is passed over.
     pub(super) fn end_attempt(&mut self, attempt: usize, outcome: Outcome) {
         let a = &mut self.attempts[attempt];
         if std::mem::replace(&mut a.over, true) {
@@ -309,9 +302,4 @@
             }
         }
     }
-
-    /// Whether a machine is listed as one that takes calls.
-    pub(super) fn is_ready(&self, machine: usize) -> bool {
-        self.hosts[machine].state == BackendState::Ready
-    }
 }
--- a/crates/lab/src/sim/clients.rs
+++ b/crates/lab/src/sim/clients.rs
@@ -1,7 +1,9 @@
 //! The clients: an open loop. A call is to start when the arrival process says so, whatever became of the others.
 
 use super::queue::{End, Happening};
-use super::{part, Call, Caller, Ended, World};
+use super::tally::Ended;
+use super::{Call, Caller, World};
+use crate::chance::part;
 use crate::model::work;
 use hillstall_module::api::Event;
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
@@ -24,9 +26,7 @@
 impl World {
     /// A Poisson process whose rate changes: drawn at the highest rate, and thinned.
     pub(super) fn arrive(&mut self) {
-        let most_burst = self.figures.failures.iter().map(|f| f.times).fold(1.0, f64::max);
-        let shape = self.figures.shape.iter().map(|(_, times)| *times).fold(1.0, f64::max);
-        let most = self.figures.rate * (1.0 + self.figures.swing) * most_burst * shape / 1e3;
+        let most = self.most_rate;
         if most <= 0.0 || self.now > self.figures.length {
             return;
         }
--- a/crates/lab/src/sim/failures.rs
+++ b/crates/lab/src/sim/failures.rs
@@ -9,20 +9,21 @@
 const RESTART_MS: f64 = 500.0;
 
 impl World {
-    /// The machines of a tier that a failure is about: a part of them, from the first on, and at least one.
-    fn meant(&self, index: usize) -> Vec<usize> {
+    /// The machines that a failure is about: those it names, or this part of its tier, from the first on, and at
+    /// least one.
+    fn meant(&self, index: usize, part: f64) -> Vec<usize> {
         let failure = &self.figures.failures[index];
         if !failure.on.is_empty() {
             return failure.on.clone();
         }
         let all = &self.tiers[failure.tier];
-        let count = ((failure.part * all.len() as f64).round() as usize).clamp(1, all.len());
+        let count = ((part * all.len() as f64).round() as usize).clamp(1, all.len());
         all[..count].to_vec()
     }
 
     pub(super) fn failure(&mut self, index: usize, begins: bool) {
         let failure = &self.figures.failures[index];
-        let (what, zone, times) = (failure.what, failure.zone, failure.times);
+        let (what, zone, part, times) = (failure.what, failure.zone, failure.part, failure.times);
         match what {
             What::Burst => self.burst = if begins { times } else { 1.0 },
             What::DiscoveryDown => {
@@ -34,24 +35,21 @@
                 }
             }
             What::Slow => {
-                let machines = match failure.on.is_empty() {
-                    true => self.tiers[failure.tier].clone(),
-                    false => failure.on.clone(),
-                };
-                for machine in machines {
+                // Something that they share: all of the tier, whatever part is given.
+                for machine in self.meant(index, 1.0) {
                     let times = if begins { times.max(1e-3) } else { 1.0 };
                     self.hosts[machine].machine.slow(self.now, times, &mut self.done);
                     self.worked(machine);
                 }
             }
             What::Hang => {
-                for machine in self.meant(index) {
+                for machine in self.meant(index, part) {
                     self.hosts[machine].machine.hang(self.now, begins, &mut self.done);
                     self.worked(machine);
                 }
             }
             What::Crash => {
-                for machine in self.meant(index) {
+                for machine in self.meant(index, part) {
                     if begins {
                         self.die(machine, true)
                     } else {
@@ -81,7 +79,7 @@
                 }
             }
             What::Release if begins => {
-                let machines = self.meant(index);
+                let machines = self.meant(index, part);
                 let each = self.figures.failures[index].lasts / machines.len() as f64;
                 for (i, machine) in machines.into_iter().enumerate() {
                     let at = self.now + i as f64 * each;
@@ -105,7 +103,6 @@
         self.hosts[machine].machine.kill(self.now, &mut done);
         // What ended in this very moment is lost with the rest.
         done.clear();
-        self.hosts[machine].life += 1;
         self.hosts[machine].stamp += 1;
         self.lose_held(machine, reset);
         let notice = if reset { self.figures.notice } else { self.figures.silent_notice };
@@ -120,7 +117,7 @@
 
     pub(super) fn release_step(&mut self, machine: usize, step: Step) {
         match step {
-            Step::Drain if self.is_ready(machine) => {
+            Step::Drain if self.hosts[machine].state == BackendState::Ready => {
                 self.changed(machine, BackendState::Draining, self.figures.notice);
             }
             Step::Drain => {}
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -10,7 +10,7 @@
 mod tally;
 
 pub use day::NoDay;
-pub use tally::{Ended, Second, Tally};
+pub use tally::{Second, Tally};
 
 use crate::model::machine::{Job, Kind, Machine};
 use crate::policy::{Named, Policy};
@@ -31,8 +31,6 @@
     /// Of the list: what is true now; proxies are told later.
     state: BackendState,
     started_at: Option<f64>,
-    /// Counts its processes; what an older one held is lost.
-    life: u32,
     /// Cut off from the network.
     lost: bool,
     stamp: u64,
@@ -74,11 +72,10 @@
     ask: usize,
     no: u32,
     machine: usize,
-    life: u32,
     sent_at: f64,
     /// Its end was told to the policy.
     over: bool,
-    /// The machine holds it.
+    /// The machine holds it; what a process held that has died is held no more.
     held: bool,
     /// Nobody waits for it any more.
     dropped: bool,
@@ -120,6 +117,8 @@
     untold: Vec<usize>,
     done: Vec<Job>,
     tally: Tally,
+    /// The highest rate of calls that there can be, a millisecond.
+    most_rate: f64,
     looked_at: f64,
 }
 
@@ -128,10 +127,24 @@
     play(setup::draw(scenario, seed), policy, seed)
 }
 
-/// Plays a day of the bench. The second part names the troubles that the lab has no model for.
-pub fn run_day(text: &str, policy: Named, seed: u64) -> Result<(Tally, Vec<String>), NoDay> {
-    let (figures, unknown) = day::figures(text)?;
-    Ok((play(figures, policy, seed), unknown))
+/// A day of the bench, read.
+pub struct Day {
+    figures: Figures,
+    /// Troubles that the lab has no model for.
+    pub unknown: Vec<String>,
+}
+
+impl Day {
+    /// Reads a day file.
+    pub fn read(text: &str) -> Result<Day, NoDay> {
+        let (figures, unknown) = day::figures(text)?;
+        Ok(Day { figures, unknown })
+    }
+
+    /// Plays it under a policy in simulated time.
+    pub fn run(&self, policy: Named, seed: u64) -> Tally {
+        play(self.figures.clone(), policy, seed)
+    }
 }
 
 fn play(figures: Figures, policy: Named, seed: u64) -> Tally {
@@ -147,11 +160,6 @@
     world.tally.close(chokes)
 }
 
-/// A number from 0 to 1, without 1.
-fn part(rng: &mut Xoshiro256PlusPlus) -> f64 {
-    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
-}
-
 impl World {
     fn new(figures: Figures, policy: Named, seed: u64) -> World {
         let mut world = World {
@@ -171,6 +179,7 @@
             untold: Vec::new(),
             done: Vec::new(),
             tally: Tally::new(policy.name(), seed, figures.length, figures.shares()),
+            most_rate: figures.most_rate(),
             looked_at: f64::MIN,
             figures,
         };
@@ -189,7 +198,6 @@
                     zone: place.zone,
                     state: BackendState::Ready,
                     started_at: None,
-                    life: 0,
                     lost: false,
                     stamp: 0,
                     proxy: None,
@@ -286,7 +294,7 @@
                     self.worked(machine);
                 }
             }
-            Happening::Back { attempt, outcome } => self.back(attempt, outcome),
+            Happening::Back { attempt, outcome } => self.end_attempt(attempt, outcome),
             Happening::TimeUp { attempt } => self.time_up(attempt),
             Happening::Cancel { attempt } => self.cancel_at_machine(attempt),
             Happening::Timer { proxy, token } => self.tell(proxy, Event::Timer { token }),
@@ -302,9 +310,7 @@
             return;
         }
         self.looked_at = self.now;
-        let kind = &self.figures.tiers[0].kind;
-        let speed: f64 = self.figures.tiers[0].places.iter().map(|p| p.speed).sum();
-        let whole = kind.cores as f64 * speed;
+        let whole = self.figures.tiers[0].able();
         let hosts = || self.tiers[0].iter().map(|h| &self.hosts[*h]).filter(|h| !h.lost);
         let able: f64 = hosts().map(|h| h.machine.capacity(self.now)).sum();
         let choked = hosts().filter(|h| h.machine.is_choked()).count() as u64;
--- a/crates/lab/src/sim/setup.rs
+++ b/crates/lab/src/sim/setup.rs
@@ -25,6 +25,7 @@
     Xoshiro256PlusPlus::seed_from_u64(seed ^ number.wrapping_mul(0x9E37_79B9_7F4A_7C15))
 }
 
+#[derive(Clone)]
 pub(super) struct ClassOf {
     pub(super) name: String,
     pub(super) share: f64,
@@ -40,11 +41,13 @@
 }
 
 /// Where a machine stands, and how fast it is.
+#[derive(Clone)]
 pub(super) struct Place {
     pub(super) zone: usize,
     pub(super) speed: f64,
 }
 
+#[derive(Clone)]
 pub(super) struct TenantOf {
     pub(super) name: String,
     /// Its part of the calls, against the others' parts.
@@ -53,6 +56,7 @@
     pub(super) quota: f64,
 }
 
+#[derive(Clone)]
 pub(super) struct TierOf {
     pub(super) name: String,
     pub(super) places: Vec<Place>,
@@ -61,6 +65,7 @@
     pub(super) calls: f64,
 }
 
+#[derive(Clone)]
 pub(super) struct FailureOf {
     pub(super) what: What,
     pub(super) at: f64,
@@ -74,6 +79,7 @@
 }
 
 /// The figures of one run.
+#[derive(Clone)]
 pub(super) struct Figures {
     pub(super) length: f64,
     pub(super) zones: usize,
@@ -183,22 +189,37 @@
     figures
 }
 
+impl TierOf {
+    /// Core milliseconds that all its machines do in a millisecond, warm and sound.
+    pub(super) fn able(&self) -> f64 {
+        self.places.iter().map(|p| p.speed).sum::<f64>() * self.kind.cores as f64
+    }
+}
+
 impl Figures {
+    /// The mean of a figure over the calls, by the classes' shares.
+    fn mean(&self, figure: fn(&ClassOf) -> f64) -> f64 {
+        let shares: f64 = self.classes.iter().map(|c| c.share).sum();
+        self.classes.iter().map(|c| c.share / shares.max(1e-9) * figure(c)).sum()
+    }
+
+    /// The highest rate of calls that there can be, a millisecond.
+    pub(super) fn most_rate(&self) -> f64 {
+        let burst = self.failures.iter().map(|f| f.times).fold(1.0, f64::max);
+        let shape = self.shape.iter().map(|(_, times)| *times).fold(1.0, f64::max);
+        self.rate * (1.0 + self.swing) * burst * shape / 1e3
+    }
+
     /// Calls a second that the fleet can do: the tier that is full first says so.
     pub(super) fn capacity(&self) -> f64 {
-        let shares: f64 = self.classes.iter().map(|c| c.share).sum();
-        let mean_work: f64 = self.classes.iter().map(|c| c.share / shares.max(1e-9) * c.work).sum();
-        let able = |tier: &TierOf| {
-            let speed: f64 = tier.places.iter().map(|p| p.speed).sum();
-            speed * tier.kind.cores as f64 / (mean_work * tier.part).max(1e-9)
-        };
+        let work = self.mean(|c| c.work);
+        let able = |tier: &TierOf| tier.able() / (work * tier.part).max(1e-9);
         self.tiers.iter().map(able).fold(f64::MAX, f64::min) * 1e3
     }
 
     /// The tenants' shares in worth a second, and what worth beyond them counts.
     pub(super) fn shares(&self) -> Shares {
-        let shares: f64 = self.classes.iter().map(|c| c.share).sum();
-        let worth: f64 = self.classes.iter().map(|c| c.share / shares.max(1e-9) * c.worth).sum();
+        let worth = self.mean(|c| c.worth);
         Shares {
             quotas: self.tenants.iter().map(|t| t.quota * worth).collect(),
             beyond: self.over_share_worth,
--- a/crates/lab/src/sim/tally.rs
+++ b/crates/lab/src/sim/tally.rs
@@ -31,7 +31,7 @@
 
 /// How a call ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Ended {
+pub(super) enum Ended {
     /// Answered; the latency is from the first try's intended start.
     Answered {
         /// In milliseconds.
--- a/crates/lab/tests/experiments.rs
+++ b/crates/lab/tests/experiments.rs
@@ -13,7 +13,7 @@
 
 #[test]
 fn a_seed_repeats_to_the_byte_and_another_differs() {
-    let scenario = scenarios::find("lose-hall").expect("embedded").1;
+    let scenario = scenarios::find("lose-hall").expect("embedded");
     for policy in [Named::Hillstall, Named::TwoChoices] {
         let (a, b) = (sim::run(&scenario, policy, 3), sim::run(&scenario, policy, 3));
         assert_eq!(bytes(&a), bytes(&b), "{}", policy.name());
@@ -24,7 +24,7 @@
 #[test]
 fn hillstall_keeps_the_rules_while_a_hall_is_lost_and_boxes_hang() {
     for name in scenarios::names() {
-        let scenario = scenarios::find(name).expect("embedded").1;
+        let scenario = scenarios::find(name).expect("embedded");
         let tally = sim::run(&scenario, Named::Hillstall, 1);
         assert!(tally.offered > 1_000, "{name}: {} calls", tally.offered);
         assert_eq!((tally.late_sends, tally.wrong_answers), (0, 0), "{name}");
@@ -35,7 +35,7 @@
 
 #[test]
 fn policies_get_the_same_calls_and_the_order_of_results_is_fixed() {
-    let scenario = scenarios::find("one-hangs").expect("embedded").1;
+    let scenario = scenarios::find("one-hangs").expect("embedded");
     let tallies = runs(&scenario, &[Named::Random, Named::Hillstall], &[1, 2], || {});
     let order: Vec<(&str, u64)> = tallies.iter().map(|t| (t.policy.as_str(), t.seed)).collect();
     assert_eq!(order, [("random", 1), ("random", 2), ("hillstall", 1), ("hillstall", 2)]);
@@ -47,7 +47,7 @@
 
 #[test]
 fn losing_a_hall_costs_service_while_it_is_away() {
-    let scenario = scenarios::find("lose-hall").expect("embedded").1;
+    let scenario = scenarios::find("lose-hall").expect("embedded");
     let tally = sim::run(&scenario, Named::Hillstall, 1);
     let able = |s: usize| tally.seconds[s].capacity;
     assert!(able(5) > 0.95 && (0.4..0.6).contains(&able(15)), "{} and {}", able(5), able(15));
@@ -63,7 +63,7 @@
 
 #[test]
 fn the_same_policy_gains_nothing_on_itself() {
-    let scenario = scenarios::find("one-hangs").expect("embedded").1;
+    let scenario = scenarios::find("one-hangs").expect("embedded");
     let tallies = runs(&scenario, &[Named::Random], &[1, 2, 3], || {});
     assert_eq!(gain(&tallies, &tallies, |t| t.service), Mean { mean: 0.0, half: 0.0 });
 }
@@ -112,7 +112,7 @@
 
 #[test]
 fn a_report_holds_its_table_and_plots() {
-    let scenario = scenarios::find("one-hangs").expect("embedded").1;
+    let scenario = scenarios::find("one-hangs").expect("embedded");
     let groups = report::groups(runs(&scenario, &[Named::Random, Named::Oracle], &[1], || {}));
     let page = report::html("a <test>", &groups).expect("a page");
     assert_eq!(page.matches("<svg").count(), 6);
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -373,7 +373,8 @@
     logged_at: Millis,
     order: Vec<usize>,
     subset_room: f64,
-    weights: Vec<(usize, f64)>,
+    /// Of a pick: the backend's place, its weight, and its calls out for the room it has.
+    weights: Vec<(usize, f64, f64)>,
 }
 
 impl Balancer {
@@ -869,7 +870,10 @@
                 own_room += b_room;
                 own_health += b_room * health;
             }
-            weights.push((i, b_room * health.max(HEALTH_FLOOR)));
+            // An ill backend is full with fewer calls. Were it but drawn less often, it would be filled to
+            // HEALTH_FLOOR^(1/8), three fifths of what a sound one has out, and a hang holds calls long.
+            let floored = health.max(HEALTH_FLOOR);
+            weights.push((i, b_room * floored, b.in_flight / (b_room * floored.sqrt())));
             have += health * b_room / b.rating();
             if have >= want {
                 break;
@@ -885,8 +889,8 @@
         // Under stress balance is worth more than the price.
         let away =
             away.powf((1.0 - self.tier.stress / TOP_STRESS).max(0.0) * own_health / own_room.max(1e-9));
-        for (i, weight) in &mut weights {
-            *weight *= self.weight(*i, held, mean_load, overdue, away);
+        for (i, weight, load) in &mut weights {
+            *weight *= self.weight(*i, held, 1.0 + *load / (mean_load + 0.5), overdue, away);
         }
         let picked = draw(&weights, self.random());
         self.weights = weights;
@@ -928,13 +932,8 @@
         b.cold_tokens >= 1.0
     }
 
-    fn weight(&self, i: usize, held: &Held, mean_load: f64, overdue: Millis, away: f64) -> f64 {
+    fn weight(&self, i: usize, held: &Held, load: f64, overdue: Millis, away: f64) -> f64 {
         let b = &self.backends[i];
-        // An ill backend is full with fewer calls. Were it but drawn less often, it would be filled to
-        // HEALTH_FLOOR^(1/8), three fifths of the calls that a sound one has out, and a hang holds them long.
-        let health = b.health_now(self.now, held.class).max(HEALTH_FLOOR);
-        let room = b.rating() * b.warmth(self.now, &self.settings.rules) * health.sqrt();
-        let load = 1.0 + b.in_flight / room / (mean_load + 0.5);
         let mut weight = 1.0 / (b.slowness.max(0.1).powi(3) * load.powi(8));
         // A hang shows first as silence: calls out for long and nothing answered since.
         if overdue > 0.0 && self.now - b.oldest_sent > overdue && b.answered_at < b.oldest_sent {
@@ -963,10 +962,10 @@
 }
 
 /// The backend in `weights` that a random number from 0 to 1 falls on.
-fn draw(weights: &[(usize, f64)], random: f64) -> Option<usize> {
-    let mut left = random * weights.iter().map(|(_, w)| w).sum::<f64>();
+fn draw(weights: &[(usize, f64, f64)], random: f64) -> Option<usize> {
+    let mut left = random * weights.iter().map(|(_, w, _)| w).sum::<f64>();
     let mut last = None;
-    for (i, weight) in weights.iter().filter(|(_, w)| *w > 0.0) {
+    for (i, weight, _) in weights.iter().filter(|(_, w, _)| *w > 0.0) {
         last = Some(*i);
         left -= weight;
         if left < 0.0 {
