A call to discovery is awaited for 4 s: giving up at 2.5 s kept a whole fleet blind

Counted over all logs with each call's end written out: 217 calls ended with 503 at once, 73 with no answer after 2.5 s. With the wait raised in a probe, the answers came after 0.9 s (median) to 3.00 s (never later): the service handles about 4 calls a second, lets a call wait 3 s, and refuses at once what would wait longer. So each call that was let in was given up shortly before its turn, and the service went on to work for nobody.

Ruled out: a service that refuses by chance (the same calls are answered when awaited), lists misread (no garbled line in any log), the servers' own load (storefront boxes full or gone are the only failures until 15 s).

At fault: OPEN = 2.5 s in crates/http1/src/discovery.rs, which also bounded the head of an answer. Now 4 s for the answer (core::discovery::ANSWER), 2.5 s for the connection alone.

The test plays 40 copies of the module behind such a service in simulated time, and shows that with 2.5 s most hear nothing.

--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -12,6 +12,11 @@
 const BACKOFF: Duration = Duration::from_millis(50);
 const BACKOFF_MOST: Duration = Duration::from_millis(800);
 
+/// Longest wait for the head of an answer. A service that handles one call after another lets calls wait, and
+/// says itself when one has waited too long. A caller that leaves sooner than that asks again at the end of the
+/// line, while the service goes on to work for nobody: a whole fleet that does so hears nothing any more.
+pub const ANSWER: Duration = Duration::from_millis(4_000);
+
 /// A future that a trait object gives.
 pub type Pending<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
--- /dev/null
+++ b/crates/core/tests/fleet.rs
@@ -0,0 +1,109 @@
+//! Many copies behind one service that knows the servers: what each does alone must not harm in the sum. All of
+//! it in simulated time, from seeds.
+
+#[path = "../../module/tests/common/mod.rs"]
+mod common;
+
+use common::{backends, settings};
+use hillstall_core::discovery::ANSWER;
+use hillstall_module::api::{Action, Event, ListKind, Millis};
+use hillstall_module::Balancer;
+
+/// A service that handles calls one after another. It answers what has waited up to so long, refuses at once what
+/// would have to wait longer, and does not see that a caller has given up.
+struct Service {
+    each: Millis,
+    most: Millis,
+    down_until: Millis,
+    free_at: Millis,
+}
+
+impl Service {
+    /// When a call made now is answered; `None` if it is refused.
+    fn call(&mut self, now: Millis) -> Option<Millis> {
+        let done = now.max(self.free_at) + self.each;
+        if now < self.down_until || done - now > self.most {
+            return None;
+        }
+        self.free_at = done;
+        Some(done)
+    }
+}
+
+/// A copy, and when it asks next, hears, or gives a call up.
+struct Copy {
+    balancer: Balancer,
+    at: Millis,
+    heard: Option<Millis>,
+    out: Option<Option<Millis>>,
+}
+
+impl Copy {
+    /// Tells of a failed call; gives when to ask again.
+    fn failed(&mut self, now: Millis) -> Millis {
+        let mut actions = Vec::new();
+        let failed = Event::BackendsChanged { kind: ListKind::Failed, version: 0, backends: &[] };
+        self.balancer.handle(now, failed, &mut actions);
+        let wait = actions.iter().find_map(|action| match action {
+            Action::SetTimer { after_ms, .. } => Some(*after_ms),
+            _ => None,
+        });
+        now + wait.expect("it asks again")
+    }
+}
+
+/// Plays a fleet whose watches have all ended at once, while the service is down for 2 s; when each copy heard.
+fn heard(copies: u32, patience: Millis, seed: u64) -> Vec<Option<Millis>> {
+    let mut service = Service { each: 240.0, most: 3_000.0, down_until: 2_000.0, free_at: 0.0 };
+    let mut fleet: Vec<Copy> = (0..copies)
+        .map(|rank| {
+            let told = hillstall_module::api::Settings { rank, fleet_size: copies, ..settings() };
+            let mut balancer = Balancer::new(told, seed * 1_000 + u64::from(rank));
+            let list = Event::BackendsChanged { kind: ListKind::Cached, version: 0, backends: &backends(12) };
+            balancer.handle(0.0, list, &mut Vec::new());
+            let mut copy = Copy { balancer, at: 0.0, heard: None, out: None };
+            copy.at = copy.failed(0.0);
+            copy
+        })
+        .collect();
+    while let Some(copy) =
+        fleet.iter_mut().filter(|c| c.heard.is_none()).min_by(|a, b| a.at.total_cmp(&b.at))
+    {
+        let now = copy.at;
+        if now > 30_000.0 {
+            break;
+        }
+        match copy.out.take() {
+            Some(Some(answered)) => copy.heard = Some(answered),
+            Some(None) => copy.at = copy.failed(now),
+            None => {
+                let answer = service.call(now);
+                match answer {
+                    None => copy.at = copy.failed(now),
+                    Some(at) => {
+                        copy.at = at.min(now + patience);
+                        copy.out = Some((at <= now + patience).then_some(at));
+                    }
+                }
+            }
+        }
+    }
+    fleet.into_iter().map(|copy| copy.heard).collect()
+}
+
+#[test]
+fn a_whole_fleet_hears_of_the_servers_again_from_a_service_that_is_slow() {
+    for seed in 0..5 {
+        let all = heard(40, ANSWER.as_secs_f64() * 1000.0, seed);
+        let last = all.iter().map(|at| at.unwrap_or(f64::MAX)).fold(0.0, f64::max);
+        // 40 calls take 9.6 s one after another, from 2 s on.
+        assert!(last < 20_000.0, "seed {seed}: the last copy heard after {last} ms");
+    }
+}
+
+#[test]
+fn copies_that_give_up_sooner_than_the_service_answers_hear_next_to_nothing() {
+    // Guards the test above: this is the fault it is about.
+    let all = heard(40, 2_500.0, 1);
+    assert!(all.iter().flatten().count() < 30, "a service that works for callers who left");
+}
--- a/crates/http1/src/discovery.rs
+++ b/crates/http1/src/discovery.rs
@@ -3,7 +3,7 @@
 use crate::io::{Io, Wire};
 use bytes::Bytes;
 use hillstall_core::directory::List;
-use hillstall_core::discovery::{Discovery, Pending};
+use hillstall_core::discovery::{Discovery, Pending, ANSWER};
 use hillstall_core::tuning::Tuning;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{header::HOST, Request, StatusCode};
@@ -15,7 +15,7 @@
 /// A watch says something every 2 s. One that is silent for this long is dead: a machine that was cut off
 /// never closes its connections, and news counts as told soon after.
 const SILENCE: Duration = Duration::from_millis(3_500);
-/// Longest wait for a connection, and for the head of an answer.
+/// Longest wait for a connection: a machine that was cut off never takes one.
 const OPEN: Duration = Duration::from_millis(2_500);
 /// Longest line, or whole list, that is taken.
 const LINE_MOST: usize = 4 << 20;
@@ -42,7 +42,10 @@
     address: SocketAddr,
     path: &str,
 ) -> Result<(hyper::body::Incoming, impl std::future::Future<Output = hyper::Result<()>>), String> {
-    let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    let stream = match timeout(OPEN, TcpStream::connect(address)).await {
+        Ok(stream) => stream.map_err(|e| e.to_string())?,
+        Err(_) => return Err("no connection".into()),
+    };
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(Io(Wire::new(stream, &Tuning::default())))
             .await
@@ -70,7 +73,7 @@
 
 /// Reads an answer line by line and hands each list on; gives why it ended.
 async fn read(address: SocketAddr, path: &str, mut take: impl FnMut(List)) -> String {
-    let opened = match timeout(OPEN, get(address, path)).await {
+    let opened = match timeout(ANSWER, get(address, path)).await {
         Ok(Ok(opened)) => opened,
         Ok(Err(why)) => return why,
         Err(_) => return "no answer".into(),
@@ -152,7 +155,7 @@
         let list: List = serde_json::from_slice(&whole.ok()?.to_bytes()).ok()?;
         Some(List { snapshot: true, ..list })
     };
-    timeout(OPEN, ask).await.ok()?
+    timeout(ANSWER, ask).await.ok()?
 }
 
 #[cfg(test)]
