--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -66,8 +66,7 @@
             copy
         })
         .collect();
-    while let Some(copy) =
-        fleet.iter_mut().filter(|c| c.heard.is_none()).min_by(|a, b| a.at.total_cmp(&b.at))
+    while let Some(copy) = fleet.iter_mut().filter(|c| c.heard.is_none()).min_by(|a, b| a.at.total_cmp(&b.at))
     {
         let now = copy.at;
         if now > 30_000.0 {
