Draining servers leave the draw little by little, not at every copy in the same instant

Counted with each attempt's end by server, 10 s to 12 s: copies that did not know yet still got 45 answers a second from the five servers listed as draining, 18 and 16 and 12 a second from three of them; copies that knew sent them nothing, and the same load stood at 6 servers and 5 cold ones. By times: the list told "draining" at 9.18 s; the servers answered until 10.3 s and then turned calls away (30 a quarter of a second each). So every copy stops at once, a second before it has to, and that is harmless alone only.

At fault: `may_send` in choice.rs, `Permit::still_there` in driver.rs, and `Directory::apply`, which closed the idle connections of a server as soon as it drained. Now a server that was ready leaves the draw over half of the drain's grace; its first refusal or failure ends that; the core's guard ends it at three quarters of the grace whatever the module says, and closes its connections then. News that may be old (the first list after a failed call) ends it at once: nobody knows how long that server serves on.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -4,6 +4,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 /// A list, or a change of one.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -57,6 +58,32 @@
     /// Its state.
     pub state: BackendState,
     started_at: Option<f64>,
+    /// When it was first told that it drains, if it was ready before that.
+    leaves_since: Option<Instant>,
+}
+
+impl Place {
+    /// Whether the same server stands there as then, whatever was told of its state since.
+    pub fn is_same(&self, then: &Place) -> bool {
+        self.address == then.address && self.started_at == then.started_at
+    }
+
+    /// Whether something new may begin there: it is ready, or was until so short a while ago.
+    pub fn takes_new(&self, now: Instant, grace: Duration) -> bool {
+        let leaves = self.leaves_since.is_some_and(|since| now.saturating_duration_since(since) < grace);
+        self.state == BackendState::Ready || (self.state == BackendState::Draining && leaves)
+    }
+}
+
+/// What a list changed.
+#[derive(Default)]
+pub struct Changes {
+    /// Its entries in the module's terms.
+    pub infos: Vec<BackendInfo>,
+    /// Backends whose idle connections are of no more use: they are gone, have restarted or are elsewhere.
+    pub stale: Vec<BackendId>,
+    /// Backends that were ready and drain from now on.
+    pub leaving: Vec<BackendId>,
 }
 
 /// The backends by name and id.
@@ -100,20 +127,18 @@
         id
     }
 
-    /// Takes a list in. Gives it in the module's terms, and the backends whose idle connections are of no
-    /// more use: they drain, are gone, have restarted or are elsewhere.
-    pub fn apply(&mut self, list: &List) -> (Vec<BackendInfo>, Vec<BackendId>) {
-        let mut stale = Vec::new();
+    /// Takes a list in that was told now.
+    pub fn apply(&mut self, list: &List, now: Instant) -> Changes {
+        let mut changes = Changes::default();
         if list.snapshot {
             let named: FxHashSet<&str> = list.endpoints.iter().map(|e| e.name.as_str()).collect();
             for (id, place) in &mut self.places {
                 if place.state != BackendState::Gone && !named.contains(self.names[id].as_str()) {
                     place.state = BackendState::Gone;
-                    stale.push(*id);
+                    changes.stale.push(*id);
                 }
             }
         }
-        let mut infos = Vec::with_capacity(list.endpoints.len());
         for endpoint in &list.endpoints {
             let id = self.id(&endpoint.name);
             let state = match endpoint.status {
@@ -122,22 +147,32 @@
                 Status::Gone => BackendState::Gone,
             };
             let started_at = (endpoint.since_ms > 0.0).then_some(endpoint.since_ms);
-            let now = Place { address: endpoint.address, state, started_at };
-            if self.places.insert(id, now).is_some_and(|before| before != now) {
-                stale.push(id);
+            let mut place = Place { address: endpoint.address, state, started_at, leaves_since: None };
+            if let Some(before) = self.places.get(&id) {
+                let same = place.is_same(before);
+                if same && state == BackendState::Draining {
+                    let leaves = before.state == BackendState::Ready;
+                    place.leaves_since = if leaves { Some(now) } else { before.leaves_since };
+                }
+                if place.leaves_since.is_some() && before.state == BackendState::Ready {
+                    changes.leaving.push(id);
+                } else if !same || before.state != state {
+                    changes.stale.push(id);
+                }
             }
-            let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
-            infos.push(BackendInfo {
+            self.places.insert(id, place);
+            let index = |names: &[String], name: &str| names.iter().position(|n| n == name);
+            changes.infos.push(BackendInfo {
                 id,
-                zone: place(&self.zones, &endpoint.zone).map_or(u16::MAX, |i| i as u16),
-                kind: place(&self.kinds, &endpoint.kind).map_or(u8::MAX, |i| i as u8),
+                zone: index(&self.zones, &endpoint.zone).map_or(u16::MAX, |i| i as u16),
+                kind: index(&self.kinds, &endpoint.kind).map_or(u8::MAX, |i| i as u8),
                 cell: endpoint.group,
                 state,
                 rating: endpoint.weight,
                 started_at,
             });
         }
-        (infos, stale)
+        changes
     }
 
     /// Forgets the backends that are gone, but for those still in use. Guards against growth: in a long life
@@ -169,14 +204,36 @@
     #[test]
     fn ids_are_fixed_by_the_name_and_outlive_a_restart() {
         let mut directory = Directory::default();
-        let (infos, _) = directory.apply(&list(true, &[("s-5be2a07c", "127.0.0.1:1", "ready")]));
-        let id = infos[0].id;
+        let now = Instant::now();
+        let told = directory.apply(&list(true, &[("s-5be2a07c", "127.0.0.1:1", "ready")]), now);
+        let id = told.infos[0].id;
         // Changing the hash would give backends other ids at proxies of another version.
         assert_eq!(id, 0x5124_5f7b);
-        directory.apply(&list(true, &[]));
+        directory.apply(&list(true, &[]), now);
         assert_eq!(directory.place(id).map(|p| p.state), Some(BackendState::Gone));
-        let (infos, stale) = directory.apply(&list(false, &[("s-5be2a07c", "127.0.0.1:2", "ready")]));
-        assert_eq!((infos[0].id, stale), (id, vec![id]));
+        let told = directory.apply(&list(false, &[("s-5be2a07c", "127.0.0.1:2", "ready")]), now);
+        assert_eq!((told.infos[0].id, told.stale), (id, vec![id]));
+    }
+
+    #[test]
+    fn only_a_server_that_was_ready_takes_new_calls_for_a_while_after_a_drain_was_told() {
+        let (mut directory, now, grace) = (Directory::default(), Instant::now(), Duration::from_secs(1));
+        let one = |status| list(false, &[("a", "127.0.0.1:1", status)]);
+        let ready = directory.apply(&one("ready"), now).infos[0].id;
+        let before = directory.place(ready).expect("it is listed");
+        let told = directory.apply(&one("draining"), now);
+        assert_eq!((told.leaving, told.stale), (vec![ready], vec![]), "its connections are still of use");
+        // Told once more, it leaves no later.
+        let again = directory.apply(&one("draining"), now + grace / 2);
+        assert!(again.leaving.is_empty() && again.stale.is_empty());
+        let place = directory.place(ready).expect("it is listed");
+        assert!(place.is_same(&before) && place.takes_new(now + grace * 9 / 10, grace));
+        assert!(!place.takes_new(now + grace, grace));
+        let told = directory.apply(&list(false, &[("b", "127.0.0.1:2", "draining")]), now);
+        let unknown = directory.place(told.infos[0].id).expect("it is listed");
+        assert!(!unknown.takes_new(now, grace), "it may drain for long");
+        assert_eq!(directory.apply(&one("gone"), now).stale, vec![ready]);
+        assert!(!directory.place(ready).expect("it was listed").takes_new(now, grace));
     }
 
     #[test]
@@ -184,11 +241,12 @@
         let mut directory = Directory::default();
         for n in 0..100 {
             let name = format!("s-{n}");
-            let (infos, _) = directory.apply(&list(true, &[(&name, "127.0.0.1:1", "ready")]));
+            let infos =
+                directory.apply(&list(true, &[(&name, "127.0.0.1:1", "ready")]), Instant::now()).infos;
             directory.forget_gone(|id| id != infos[0].id && n % 2 == 0);
         }
         assert_eq!((directory.places.len(), directory.names.len(), directory.ids.len()), (1, 1, 1));
-        directory.apply(&list(false, &[("s-99", "127.0.0.1:1", "gone")]));
+        directory.apply(&list(false, &[("s-99", "127.0.0.1:1", "gone")]), Instant::now());
         directory.forget_gone(|_| true);
         assert_eq!(directory.places.len(), 1, "an attempt is still out");
     }
@@ -203,7 +261,8 @@
 
     #[test]
     fn an_unheard_status_is_not_sent_to() {
-        let (infos, _) = Directory::default().apply(&list(true, &[("a", "127.0.0.1:1", "resting")]));
+        let list = list(true, &[("a", "127.0.0.1:1", "resting")]);
+        let infos = Directory::default().apply(&list, Instant::now()).infos;
         assert_eq!(infos[0].state, BackendState::Draining);
     }
 }
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -21,6 +21,10 @@
 /// Longest time that can be asked for or waited; keeps arithmetic on instants in range.
 const SPAN_MOST: Millis = 3.6e6;
 
+/// Part of the time that the rules leave after a drain was told in which this lets something new begin. It guards
+/// the rule whatever the module says; the rest is for what is on its way.
+const LEAVE_PART: f64 = 0.75;
+
 /// The final answer to a caller.
 pub enum Final<C: Carrier> {
     /// A backend's answer.
@@ -156,6 +160,8 @@
     max_open: usize,
     probes_report: bool,
     listed: Cell<bool>,
+    /// How long after a drain was told something new may begin at a server.
+    leave_grace: Duration,
     state: RefCell<State<C>>,
 }
 
@@ -194,6 +200,7 @@
             max_open: start.max_open.min(settings.allowed.max_open as usize),
             probes_report: settings.report_via == ReportVia::Probe,
             listed: Cell::new(false),
+            leave_grace: span(settings.rules.drain_grace_ms * LEAVE_PART),
             state: RefCell::new(State {
                 directory: Directory::new(&settings),
                 balancer: Balancer::new(settings, start.seed),
@@ -242,8 +249,10 @@
 
     fn take_list(&self, list: &List, kind: Option<ListKind>) {
         let state = &mut *self.state.borrow_mut();
-        let (infos, stale) = state.directory.apply(list);
-        stale.into_iter().for_each(|backend| self.carrier.close_idle(backend));
+        let changes = state.directory.apply(list, Instant::now());
+        changes.stale.into_iter().for_each(|backend| self.carrier.close_idle(backend));
+        changes.leaving.into_iter().for_each(|backend| self.close_later(backend));
+        let infos = changes.infos;
         let used: FxHashSet<BackendId> =
             state.open.values().filter_map(|o| o.out.as_ref()).map(|o| o.backend).collect();
         state.directory.forget_gone(|backend| used.contains(&backend));
@@ -255,6 +264,19 @@
         self.handle(state, Happening::List(kind, list.index as u32, infos));
     }
 
+    /// Lets go of the connections to a server that leaves, once nothing new may begin there.
+    fn close_later(&self, backend: BackendId) {
+        let (me, grace) = (self.me.clone(), self.leave_grace);
+        spawn_local(async move {
+            tokio::time::sleep(grace).await;
+            let Some(driver) = me.upgrade() else { return };
+            let place = driver.state.borrow().directory.place(backend);
+            if place.is_some_and(|place| !place.takes_new(Instant::now(), grace)) {
+                driver.carrier.close_idle(backend);
+            }
+        });
+    }
+
     /// Takes a request in; `None` if this proxy holds as many as it can. The answer comes exactly once, if
     /// the guard is kept until then; dropping it earlier tells that the caller has left.
     pub fn request(&self, asked: Asked, call: C::Call) -> Option<Taken<C>> {
@@ -577,6 +599,8 @@
     /// Whether a connection to the server is still of use.
     pub fn still_there(&self) -> bool {
         let state = self.driver.state.borrow();
-        state.directory.place(self.backend) == Some(self.place) && self.place.state == BackendState::Ready
+        state.directory.place(self.backend).is_some_and(|place| {
+            place.is_same(&self.place) && place.takes_new(Instant::now(), self.driver.leave_grace)
+        })
     }
 }
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -105,6 +105,9 @@
 const COLD_PART: f64 = 0.5;
 /// Part of a window's calls to a cold backend that can be saved up for a burst.
 const COLD_SAVED: f64 = 0.25;
+/// Part of the grace of a drain over which a backend that was ready leaves the draw. It serves on for a while
+/// after the list has told, and if all copies stop at once, the others get its load in one instant.
+const LEAVE_PART: f64 = 0.5;
 /// Milliseconds over which the rate of served calls is averaged.
 const RATE_MS: Millis = 3_000.0;
 /// Mean latencies after which a refused client may come back: by then about half of what filled the gate is
@@ -263,6 +266,8 @@
     answered_at: Millis,
     cold_tokens: f64,
     cold_at: Millis,
+    /// When it was told to drain, if it was ready until then and has turned nothing away since.
+    leaves_at: Option<Millis>,
 }
 
 impl Backend {
@@ -278,6 +283,29 @@
             answered_at: f64::MIN,
             cold_tokens: tokens,
             cold_at: now,
+            leaves_at: None,
+        }
+    }
+
+    /// The part of its usual draw that it gets: less and less of it while it leaves.
+    fn stays(&self, now: Millis, rules: &Rules) -> f64 {
+        match (self.info.state, self.leaves_at) {
+            (BackendState::Ready, _) => 1.0,
+            (BackendState::Draining, Some(told)) => {
+                (1.0 - (now - told) / (LEAVE_PART * rules.drain_grace_ms).max(1.0)).max(0.0)
+            }
+            _ => 0.0,
+        }
+    }
+
+    /// Takes over what the list tells now, which is `news` where none was missed; `was` is its state before.
+    fn told(&mut self, info: BackendInfo, was: BackendState, news: bool, now: Millis) {
+        self.info = info;
+        match (was, info.state) {
+            // Of a drain that may be old nobody knows how long the backend serves on.
+            (BackendState::Ready, BackendState::Draining) => self.leaves_at = Some(now).filter(|_| news),
+            (_, BackendState::Draining) => {}
+            _ => self.leaves_at = None,
         }
     }
 
@@ -370,6 +398,8 @@
     usual: Usual,
     retries: f64,
     asks_failed: i32,
+    /// Whether nothing was missed since the last list.
+    hears: bool,
     logged_at: Millis,
     order: Vec<usize>,
     subset_room: f64,
@@ -405,6 +435,7 @@
             usual: Usual::default(),
             retries: RETRY_SAVED,
             asks_failed: 0,
+            hears: false,
             logged_at: f64::MIN,
             order: Vec::new(),
             subset_room: 0.0,
@@ -451,21 +482,26 @@
 
     fn on_list(&mut self, kind: ListKind, list: &[BackendInfo], actions: &mut Vec<Action>) {
         match kind {
-            ListKind::Failed => return self.ask_again(actions),
+            ListKind::Failed => {
+                self.hears = false;
+                return self.ask_again(actions);
+            }
             ListKind::Cached if self.settings.must_subscribe => {
                 actions.push(Action::Subscribe { on: true });
             }
             ListKind::Cached => {}
             ListKind::Delta | ListKind::Full => self.asks_failed = 0,
         }
+        let was: Vec<BackendState> = self.backends.iter().map(|b| b.info.state).collect();
         if kind != ListKind::Delta {
             for backend in &mut self.backends {
                 backend.info.state = BackendState::Gone;
             }
         }
         for info in list {
-            self.learn_backend(*info);
+            self.learn_backend(*info, &was);
         }
+        self.hears = kind != ListKind::Cached;
         self.backends.retain(|b| b.info.state != BackendState::Gone || b.in_flight > 0.0);
         self.index = self.backends.iter().enumerate().map(|(i, b)| (b.info.id, i)).collect();
         self.order_backends();
@@ -508,11 +544,15 @@
         self.order = own;
     }
 
-    fn learn_backend(&mut self, info: BackendInfo) {
+    fn learn_backend(&mut self, info: BackendInfo, was: &[BackendState]) {
         // A random first token, so that many copies told at once do not all try a cold backend at once.
         let (tokens, classes) = (self.random(), self.classes.len());
         match self.index.get(&info.id) {
-            Some(&i) if self.backends[i].info.started_at == info.started_at => self.backends[i].info = info,
+            Some(&i) if self.backends[i].info.started_at == info.started_at => {
+                let was = was.get(i).copied().unwrap_or(BackendState::Gone);
+                let news = self.settings.must_subscribe && self.hears;
+                self.backends[i].told(info, was, news, self.now);
+            }
             Some(&i) => {
                 let in_flight = self.backends[i].in_flight;
                 self.backends[i] = Backend { in_flight, ..Backend::new(info, tokens, classes, self.now) };
@@ -736,6 +776,11 @@
             b.in_flight = (b.in_flight - 1.0).max(0.0);
             b.oldest_sent = if b.in_flight > 0.0 { b.oldest_sent.max(attempt.sent_at) } else { f64::MAX };
             sound = b.health_now(now, held.class) > 0.5;
+            if b.info.state == BackendState::Draining && !ok {
+                // It turns calls away or ends, as was told: that says nothing of the tier.
+                b.leaves_at = None;
+                sound = false;
+            }
             if outcome != Outcome::Cancelled && outcome != Outcome::Moot {
                 b.health.judge(now, ok);
                 b.by_class[held.class].judge(now, ok);
@@ -858,12 +903,14 @@
         let (mut room, mut calls, mut have, mut own_room, mut own_health) = (0.0, 0.0, 0.0, 0.0, 0.0);
         for n in 0..self.order.len() {
             let i = self.order[n];
-            if !self.may_send(held, &self.backends[i].info) || !self.refill_cold(i, rate) {
+            let rules = &self.settings.rules;
+            let stays = self.backends[i].stays(now, rules);
+            if stays <= 0.0 || !self.may_send(held, &self.backends[i].info) || !self.refill_cold(i, rate) {
                 continue;
             }
             let b = &self.backends[i];
             let (b_room, health) =
-                (b.rating() * b.warmth(now, &self.settings.rules), b.health_now(now, held.class));
+                (b.rating() * b.warmth(now, &self.settings.rules) * stays, b.health_now(now, held.class));
             room += b_room;
             calls += b.in_flight;
             if b.info.zone == self.settings.zone {
@@ -897,11 +944,8 @@
         picked
     }
 
-    /// Only ready backends; and once a keyed request may have run, only the group that drops its repeat.
+    /// Once a keyed request may have run, only the group that drops its repeat.
     fn may_send(&self, held: &Held, to: &BackendInfo) -> bool {
-        if to.state != BackendState::Ready {
-            return false;
-        }
         let rules = &self.settings.classes[held.class];
         match (rules.effect, held.may_have_run) {
             (Effect::Keyed, Some((ran, _))) => match rules.scope {
--- a/crates/module/tests/rules.rs
+++ b/crates/module/tests/rules.rs
@@ -94,6 +94,45 @@
     }
 }
 
+/// Calls sent to backend 2 of three in each tenth of a second, from when it was told to drain on.
+fn to_one_that_leaves(news: bool, turns_away: bool) -> Vec<usize> {
+    let told = Settings { must_subscribe: true, ..settings() };
+    let grace = told.rules.drain_grace_ms;
+    let mut p = Proxy::new(told, &backends(3));
+    p.list(ListKind::Delta, &[]);
+    if !news {
+        p.list(ListKind::Failed, &[]);
+    }
+    p.list(ListKind::Delta, &[BackendInfo { state: BackendState::Draining, ..backend(2) }]);
+    let from = p.now;
+    let mut sent_to = vec![0; 10];
+    while p.now - from < grace {
+        let Some(sent) = p.ask(0, 0, 4_000.0) else { break };
+        sent_to[((p.now - from) / grace * 10.0) as usize] += usize::from(sent.to == 2);
+        p.now += grace / 1_000.0;
+        let away = turns_away && sent.to == 2;
+        if let Some(again) = p.end(sent, if away { Outcome::Full } else { Outcome::Ok }) {
+            assert_ne!(again.to, 2);
+            p.end(again, Outcome::Ok);
+        }
+    }
+    sent_to
+}
+
+#[test]
+fn a_backend_that_drains_leaves_the_draw_little_by_little_and_within_half_of_the_grace() {
+    let sent_to = to_one_that_leaves(true, false);
+    // A third of a hundred calls is its part of a tenth of the grace.
+    assert!(sent_to[0] > 15 && sent_to[4] < sent_to[0] / 2, "{sent_to:?}");
+    assert_eq!(sent_to[5..].iter().sum::<usize>(), 0, "{sent_to:?}");
+}
+
+#[test]
+fn a_draining_backend_gets_nothing_once_it_turns_calls_away_or_where_the_news_may_be_old() {
+    assert_eq!(to_one_that_leaves(true, true).iter().sum::<usize>(), 1);
+    assert_eq!(to_one_that_leaves(false, false).iter().sum::<usize>(), 0);
+}
+
 #[test]
 fn what_a_full_list_leaves_out_is_gone() {
     let mut p = proxy(Effect::Repeatable, Scope::All, &backends(3));
