Why a watch on discovery ended is told in the log, once a spell

Change: one warning for each spell of failures, until discovery is heard again. The test sends half a list down a watch: the reason is in the log, and the list held stays in use; it fails without the change.

--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -160,6 +160,8 @@
     max_open: usize,
     probes_report: bool,
     listed: Cell<bool>,
+    /// Whether a watch has failed since discovery was heard last.
+    unheard: Cell<bool>,
     /// How long after a drain was told something new may begin at a server.
     leave_grace: Duration,
     state: RefCell<State<C>>,
@@ -200,6 +202,7 @@
             max_open: start.max_open.min(settings.allowed.max_open as usize),
             probes_report: settings.report_via == ReportVia::Probe,
             listed: Cell::new(false),
+            unheard: Cell::new(false),
             leave_grace: span(settings.rules.drain_grace_ms * LEAVE_PART),
             state: RefCell::new(State {
                 directory: Directory::new(&settings),
@@ -259,6 +262,7 @@
         state.index = Some(list.index);
         if kind.is_none() {
             self.listed.set(true);
+            self.unheard.set(false);
         }
         let kind = kind.unwrap_or(if list.snapshot { ListKind::Full } else { ListKind::Delta });
         self.handle(state, Happening::List(kind, list.index as u32, infos));
@@ -521,8 +525,12 @@
             if !ask {
                 return discovery::follow(discovery, address, index, take).await;
             }
-            discovery.watch(address, &mut index, &mut take).await;
+            let why = discovery.watch(address, &mut index, &mut take).await;
             if let Some(driver) = me.upgrade() {
+                // One line for each spell of trouble, not for each try: the module tells when it asks again.
+                if !driver.unheard.replace(true) {
+                    tracing::warn!(%address, "discovery watch: {why}");
+                }
                 driver.list_failed();
             }
         });
--- a/crates/hillstall/tests/proxy/commands.rs
+++ b/crates/hillstall/tests/proxy/commands.rs
@@ -98,6 +98,23 @@
     }
 }
 
+#[test]
+fn why_a_watch_ended_is_told_and_garbled_words_leave_the_list_as_it_is() {
+    let backend = Backend::saying(OK);
+    let discovery = served_by(&backend);
+    let files = Files::new("");
+    let (operator, log) = (files.operator.display(), files.log.display());
+    let line = format!("exec \"$0\" run --operator {operator} 2>{log}");
+    let config = config(discovery.address, &list(0, true, &[])).replace("\"automatic\"", "\"subscribe\"");
+    let proxy = Proxy::start_by(&line, &config);
+    assert_eq!(proxy.call(&ask("read", "a1", 20_000, "")).status(), 200);
+    until("the reason is told", || {
+        discovery.say("{\"index\":6,\"snapshot\":true,\"endpoints\":[{\"name\":");
+        files.log().contains("discovery watch: garbled list")
+    });
+    assert_eq!(proxy.call(&ask("read", "a2", 20_000, "")).status(), 200, "the list held is still of use");
+}
+
 #[test]
 fn a_reader_of_the_log_that_stops_holds_no_call_up() {
     let backend = Backend::saying(OK);
