Test: names told twice and addresses that change hands in a list

Need: bad words of discovery must neither panic nor send calls to the wrong server; these two had no test.

Change: a test of the directory; it fails where a server's address is left out of what makes it the same server.

Measured: the tests of hillstall-core pass; no source of the proxy has changed.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -259,6 +259,20 @@
         assert_eq!(directory.id("a"), id.wrapping_add(1));
     }
 
+    #[test]
+    fn a_name_told_twice_counts_by_its_last_word_and_an_address_that_changes_hands_drops_connections() {
+        let (mut directory, now) = (Directory::default(), Instant::now());
+        let twice = list(true, &[("a", "127.0.0.1:1", "ready"), ("a", "127.0.0.1:1", "draining")]);
+        let a = directory.apply(&twice, now).infos[0].id;
+        assert_eq!(directory.place(a).map(|p| p.state), Some(BackendState::Draining));
+        let whole = list(true, &[("a", "127.0.0.1:1", "ready"), ("b", "127.0.0.1:2", "ready")]);
+        let b = directory.apply(&whole, now).infos[1].id;
+        let before = directory.place(a).expect("it is listed");
+        let swapped = list(true, &[("a", "127.0.0.1:2", "ready"), ("b", "127.0.0.1:1", "ready")]);
+        assert_eq!(directory.apply(&swapped, now).stale, vec![a, b], "their connections lead elsewhere");
+        assert!(!directory.place(a).expect("it is listed").is_same(&before));
+    }
+
     #[test]
     fn an_unheard_status_is_not_sent_to() {
         let list = list(true, &[("a", "127.0.0.1:1", "resting")]);
