One place tells why a watch ended, and one task does what is done later

Need: a second reading of the fleet's changes. `Driver::watch` had its own copy of the line that `discovery::follow` writes once a spell; `close_later` and `later` were the same task; a test had a copy of `Files::start`; the fleet's test kept its state in an option within an option; a comment on unknown statuses was no longer true.

Change: both kinds of watch tell through `Driver::watch_ended`, whose spell ends when discovery is heard or another address is followed; timers and late closes go through `Driver::after`; `Directory::apply` is flat again; the module's `hears` holds the whole condition. Tests keep their assertions. The line's words are the same in both modes now.

All tests, clippy and rustdoc pass.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -41,7 +41,7 @@
     Ready,
     Draining,
     Gone,
-    /// A status of a later version: nothing new goes to what is not known to be ready.
+    /// A status of a later version: it is taken for a drain, as it is not known to be ready.
     #[serde(other)]
     Unheard,
 }
@@ -129,7 +129,8 @@
 
     /// Takes a list in that was told now.
     pub fn apply(&mut self, list: &List, now: Instant) -> Changes {
-        let mut changes = Changes::default();
+        let infos = Vec::with_capacity(list.endpoints.len());
+        let mut changes = Changes { infos, ..Changes::default() };
         if list.snapshot {
             let named: FxHashSet<&str> = list.endpoints.iter().map(|e| e.name.as_str()).collect();
             for (id, place) in &mut self.places {
@@ -148,17 +149,15 @@
             };
             let started_at = (endpoint.since_ms > 0.0).then_some(endpoint.since_ms);
             let mut place = Place { address: endpoint.address, state, started_at, leaves_since: None };
-            if let Some(before) = self.places.get(&id) {
-                let same = place.is_same(before);
-                if same && state == BackendState::Draining {
-                    let leaves = before.state == BackendState::Ready;
-                    place.leaves_since = if leaves { Some(now) } else { before.leaves_since };
-                }
-                if place.leaves_since.is_some() && before.state == BackendState::Ready {
-                    changes.leaving.push(id);
-                } else if !same || before.state != state {
-                    changes.stale.push(id);
-                }
+            let before = self.places.get(&id).copied();
+            let same = before.filter(|before| place.is_same(before));
+            let leaves = state == BackendState::Draining
+                && same.is_some_and(|before| before.state == BackendState::Ready);
+            place.leaves_since = if leaves { Some(now) } else { same.and_then(|before| before.leaves_since) };
+            if leaves {
+                changes.leaving.push(id);
+            } else if before.is_some() && same.is_none_or(|before| before.state != state) {
+                changes.stale.push(id);
             }
             self.places.insert(id, place);
             let index = |names: &[String], name: &str| names.iter().position(|n| n == name);
--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -35,15 +35,16 @@
     fn fetch(&self, address: SocketAddr) -> Pending<'_, Option<List>>;
 }
 
-/// Watches for ever. A watch that ends, falls silent or is garbled is opened again from where it stood.
+/// Watches for ever, and gives why each watch ended to `tell`. One that ends, falls silent or is garbled is opened
+/// again from where it stood.
 pub async fn follow(
     discovery: Rc<dyn Discovery>,
     address: SocketAddr,
     mut index: Option<u64>,
     mut take: impl FnMut(List),
+    tell: impl Fn(&str),
 ) {
     let mut wait = BACKOFF;
-    let mut failing = false;
     loop {
         let mut got = false;
         let mut heard = |list| {
@@ -52,12 +53,9 @@
         };
         let why = discovery.watch(address, &mut index, &mut heard).await;
         if got {
-            (wait, failing) = (BACKOFF, false);
-        }
-        // One line for each spell of trouble, not for each try.
-        if !std::mem::replace(&mut failing, true) {
-            tracing::warn!(%address, "discovery watch: {why}; opening it again");
+            wait = BACKOFF;
         }
+        tell(&why);
         tokio::time::sleep(wait).await;
         wait = (wait * 2).min(BACKOFF_MOST);
     }
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -226,6 +226,7 @@
     /// Follows the list at another address from now on. What is held stays in use until that one has told.
     pub fn follow(&self, discovery: SocketAddr) {
         if self.listed_at.replace(discovery) != discovery {
+            self.unheard.set(false);
             let state = &mut *self.state.borrow_mut();
             state.index = None;
             self.watch(state);
@@ -270,10 +271,8 @@
 
     /// Lets go of the connections to a server that leaves, once nothing new may begin there.
     fn close_later(&self, backend: BackendId) {
-        let (me, grace) = (self.me.clone(), self.leave_grace);
-        spawn_local(async move {
-            tokio::time::sleep(grace).await;
-            let Some(driver) = me.upgrade() else { return };
+        let grace = self.leave_grace;
+        self.after(grace, move |driver| {
             let place = driver.state.borrow().directory.place(backend);
             if place.is_some_and(|place| !place.takes_new(Instant::now(), grace)) {
                 driver.carrier.close_idle(backend);
@@ -281,6 +280,13 @@
         });
     }
 
+    /// Tells why a watch ended: one line for each spell of trouble, until discovery is heard again, not for each try.
+    fn watch_ended(&self, address: SocketAddr, why: &str) {
+        if !self.unheard.replace(true) {
+            tracing::warn!(%address, "discovery watch: {why}; opening it again");
+        }
+    }
+
     /// Takes a request in; `None` if this proxy holds as many as it can. The answer comes exactly once, if
     /// the guard is kept until then; dropping it earlier tells that the caller has left.
     pub fn request(&self, asked: Asked, call: C::Call) -> Option<Taken<C>> {
@@ -400,7 +406,9 @@
                     let _ = cancel.send(());
                 }
             }
-            Action::SetTimer { after_ms, token } => self.later(after_ms, token),
+            Action::SetTimer { after_ms, token } => {
+                self.after(span(after_ms), move |driver| driver.event(Event::Timer { token }));
+            }
             Action::Probe { backend } => self.probe(state, backend),
             Action::CloseIdle { backend } => self.carrier.close_idle(backend),
             // The protocol has no form for these, and the settings permit none.
@@ -481,12 +489,13 @@
         });
     }
 
-    fn later(&self, after_ms: Millis, token: u64) {
+    /// Does something in a while, if this still runs then.
+    fn after(&self, wait: Duration, then: impl FnOnce(&Driver<C>) + 'static) {
         let me = self.me.clone();
         spawn_local(async move {
-            tokio::time::sleep(span(after_ms)).await;
+            tokio::time::sleep(wait).await;
             if let Some(driver) = me.upgrade() {
-                driver.event(Event::Timer { token });
+                then(&driver);
             }
         });
     }
@@ -523,14 +532,16 @@
         let me = self.me.clone();
         let watch = spawn_local(async move {
             if !ask {
-                return discovery::follow(discovery, address, index, take).await;
+                let tell = |why: &str| {
+                    if let Some(driver) = me.upgrade() {
+                        driver.watch_ended(address, why);
+                    }
+                };
+                return discovery::follow(discovery, address, index, take, tell).await;
             }
             let why = discovery.watch(address, &mut index, &mut take).await;
             if let Some(driver) = me.upgrade() {
-                // One line for each spell of trouble, not for each try: the module tells when it asks again.
-                if !driver.unheard.replace(true) {
-                    tracing::warn!(%address, "discovery watch: {why}");
-                }
+                driver.watch_ended(address, &why);
                 driver.list_failed();
             }
         });
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -6,7 +6,7 @@
 
 use common::{backends, settings};
 use hillstall_core::discovery::ANSWER;
-use hillstall_module::api::{Action, Event, ListKind, Millis};
+use hillstall_module::api::{Action, Event, ListKind, Millis, Settings};
 use hillstall_module::Balancer;
 
 /// A service that handles calls one after another. It answers what has waited up to so long, refuses at once what
@@ -30,17 +30,24 @@
     }
 }
 
-/// A copy, and when it asks next, hears, or gives a call up.
-struct Copy {
+/// What a copy does next.
+#[derive(Clone, Copy, PartialEq)]
+enum Next {
+    Ask,
+    GiveUp,
+    Hear,
+}
+
+/// A copy, and when it does what is next. After it has heard there is nothing more to do.
+struct Proxy {
     balancer: Balancer,
     at: Millis,
-    heard: Option<Millis>,
-    out: Option<Option<Millis>>,
+    next: Next,
 }
 
-impl Copy {
-    /// Tells of a failed call; gives when to ask again.
-    fn failed(&mut self, now: Millis) -> Millis {
+impl Proxy {
+    /// Tells of a failed call, and asks again when the module says.
+    fn failed(&mut self, now: Millis) {
         let mut actions = Vec::new();
         let failed = Event::BackendsChanged { kind: ListKind::Failed, version: 0, backends: &[] };
         self.balancer.handle(now, failed, &mut actions);
@@ -48,46 +55,39 @@
             Action::SetTimer { after_ms, .. } => Some(*after_ms),
             _ => None,
         });
-        now + wait.expect("it asks again")
+        (self.at, self.next) = (now + wait.expect("it asks again"), Next::Ask);
     }
 }
 
 /// Plays a fleet whose watches have all ended at once, while the service is down for 2 s; when each copy heard.
 fn heard(copies: u32, patience: Millis, seed: u64) -> Vec<Option<Millis>> {
     let mut service = Service { each: 240.0, most: 3_000.0, down_until: 2_000.0, free_at: 0.0 };
-    let mut fleet: Vec<Copy> = (0..copies)
+    let mut fleet: Vec<Proxy> = (0..copies)
         .map(|rank| {
-            let told = hillstall_module::api::Settings { rank, fleet_size: copies, ..settings() };
+            let told = Settings { rank, fleet_size: copies, ..settings() };
             let mut balancer = Balancer::new(told, seed * 1_000 + u64::from(rank));
             let list = Event::BackendsChanged { kind: ListKind::Cached, version: 0, backends: &backends(12) };
             balancer.handle(0.0, list, &mut Vec::new());
-            let mut copy = Copy { balancer, at: 0.0, heard: None, out: None };
-            copy.at = copy.failed(0.0);
+            let mut copy = Proxy { balancer, at: 0.0, next: Next::Ask };
+            copy.failed(0.0);
             copy
         })
         .collect();
-    while let Some(copy) = fleet.iter_mut().filter(|c| c.heard.is_none()).min_by(|a, b| a.at.total_cmp(&b.at))
+    let last = 30_000.0;
+    while let Some(copy) = fleet
+        .iter_mut()
+        .filter(|copy| copy.next != Next::Hear && copy.at <= last)
+        .min_by(|a, b| a.at.total_cmp(&b.at))
     {
         let now = copy.at;
-        if now > 30_000.0 {
-            break;
-        }
-        match copy.out.take() {
-            Some(Some(answered)) => copy.heard = Some(answered),
-            Some(None) => copy.at = copy.failed(now),
-            None => {
-                let answer = service.call(now);
-                match answer {
-                    None => copy.at = copy.failed(now),
-                    Some(at) => {
-                        copy.at = at.min(now + patience);
-                        copy.out = Some((at <= now + patience).then_some(at));
-                    }
-                }
-            }
+        let answered = if copy.next == Next::Ask { service.call(now) } else { None };
+        match answered {
+            Some(at) if at <= now + patience => (copy.at, copy.next) = (at, Next::Hear),
+            Some(_) => (copy.at, copy.next) = (now + patience, Next::GiveUp),
+            None => copy.failed(now),
         }
     }
-    fleet.into_iter().map(|copy| copy.heard).collect()
+    fleet.into_iter().map(|copy| (copy.next == Next::Hear && copy.at <= last).then_some(copy.at)).collect()
 }
 
 #[test]
--- a/crates/hillstall/tests/proxy/commands.rs
+++ b/crates/hillstall/tests/proxy/commands.rs
@@ -29,10 +29,10 @@
         Files { _folder: folder, operator: file, log }
     }
 
-    fn start(&self, discovery: &Discovery) -> Proxy {
+    fn start(&self, config: &str) -> Proxy {
         let (operator, log) = (self.operator.display(), self.log.display());
         let line = format!("exec \"$0\" run --operator {operator} 2>{log}");
-        Proxy::start_by(&line, &config(discovery.address, &list(0, true, &[])))
+        Proxy::start_by(&line, config)
     }
 
     fn log(&self) -> String {
@@ -44,6 +44,10 @@
     Discovery::start(Some(list(5, true, &[entry("b0", backend.address, "ready")])))
 }
 
+fn told_by(discovery: &Discovery) -> String {
+    config(discovery.address, &list(0, true, &[]))
+}
+
 fn hillstall(words: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_hillstall"));
     command.args(words).env_remove("NODE_CONFIG").env_remove("HILLSTALL_OPERATOR_FILE");
@@ -59,7 +63,7 @@
     let backend = Backend::saying(OK);
     let discovery = served_by(&backend);
     let files = Files::new(&operator_file("false", "50ms"));
-    let proxy = files.start(&discovery);
+    let proxy = files.start(&told_by(&discovery));
     let hup = |text: &str| {
         std::fs::write(&files.operator, text).expect("it is written");
         proxy.signal("-HUP");
@@ -83,7 +87,7 @@
     let first = Backend::saying(OK);
     let discovery = served_by(&first);
     let files = Files::new(&operator_file("true", "50ms"));
-    let proxy = files.start(&discovery);
+    let proxy = files.start(&told_by(&discovery));
     assert_eq!(proxy.call(&ask("read", "served-1", 20_000, "")).status(), 200);
     until("the record is written", || files.log().contains("served-1"));
     let log = files.log();
@@ -103,10 +107,7 @@
     let backend = Backend::saying(OK);
     let discovery = served_by(&backend);
     let files = Files::new("");
-    let (operator, log) = (files.operator.display(), files.log.display());
-    let line = format!("exec \"$0\" run --operator {operator} 2>{log}");
-    let config = config(discovery.address, &list(0, true, &[])).replace("\"automatic\"", "\"subscribe\"");
-    let proxy = Proxy::start_by(&line, &config);
+    let proxy = files.start(&told_by(&discovery).replace("\"automatic\"", "\"subscribe\""));
     assert_eq!(proxy.call(&ask("read", "a1", 20_000, "")).status(), 200);
     until("the reason is told", || {
         discovery.say("{\"index\":6,\"snapshot\":true,\"endpoints\":[{\"name\":");
@@ -121,7 +122,7 @@
     let discovery = served_by(&backend);
     // Its standard error is a pipe that nobody reads: some hundred records fill it and the queue before it.
     let line = "exec \"$0\" --set log.calls=true --set callers.idle=60s";
-    let mut proxy = Proxy::start_by(line, &config(discovery.address, &list(0, true, &[])));
+    let mut proxy = Proxy::start_by(line, &told_by(&discovery));
     let mut kept = open(proxy.address, &ask("read", "k", 20_000, ""));
     assert_eq!(answer(&kept).expect("an answer").status(), 200);
     for n in 0..3_000 {
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -398,7 +398,8 @@
     usual: Usual,
     retries: f64,
     asks_failed: i32,
-    /// Whether nothing was missed since the last list.
+    /// Whether it is certain that nothing was missed since the last list: gaps are told only where lists are
+    /// asked for.
     hears: bool,
     logged_at: Millis,
     order: Vec<usize>,
@@ -501,7 +502,7 @@
         for info in list {
             self.learn_backend(*info, &was);
         }
-        self.hears = kind != ListKind::Cached;
+        self.hears = self.settings.must_subscribe && kind != ListKind::Cached;
         self.backends.retain(|b| b.info.state != BackendState::Gone || b.in_flight > 0.0);
         self.index = self.backends.iter().enumerate().map(|(i, b)| (b.info.id, i)).collect();
         self.order_backends();
@@ -550,8 +551,7 @@
         match self.index.get(&info.id) {
             Some(&i) if self.backends[i].info.started_at == info.started_at => {
                 let was = was.get(i).copied().unwrap_or(BackendState::Gone);
-                let news = self.settings.must_subscribe && self.hears;
-                self.backends[i].told(info, was, news, self.now);
+                self.backends[i].told(info, was, self.hears, self.now);
             }
             Some(&i) => {
                 let in_flight = self.backends[i].in_flight;
@@ -903,8 +903,7 @@
         let (mut room, mut calls, mut have, mut own_room, mut own_health) = (0.0, 0.0, 0.0, 0.0, 0.0);
         for n in 0..self.order.len() {
             let i = self.order[n];
-            let rules = &self.settings.rules;
-            let stays = self.backends[i].stays(now, rules);
+            let stays = self.backends[i].stays(now, &self.settings.rules);
             if stays <= 0.0 || !self.may_send(held, &self.backends[i].info) || !self.refill_cold(i, rate) {
                 continue;
             }
