Counts and shares go by how hot a copy is, and refusals are counted by reason

Counted with the reason in each call's record (its logs hold 3,000 calls a proxy): of 2,389 refusals at the hottest copy 1,298 were for want of room to borrow, 1,017 over the tier's count; at the fourth hottest 2,273 of 2,384 were to borrow. A common copy refused 1 to 3 calls of 650. Lines at fault: choice.rs, over_share cut a tenant's share by the number of copies as if fronts spread evenly; Node::learn rises by a call a round whatever a copy is asked for, so counts settle alike.

The change: a copy's heat, its first tries over its even part of all shares, which every copy is told. Counts and shares are kept for an even part and multiplied by it. Heat counts from 1.5 on (a load at all copies looks the same), up to an eighth of the copies; marked repeats and one tenant's flood make none; while the tier is crowded it rises slowly. Refusals carry their reason in the interface, the figures (svc_unserved) and records.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -335,10 +335,10 @@
                 out.extend(backend.to_be_bytes());
                 out.extend(timeout_ms.to_be_bytes());
             }
-            Action::Refuse { request, retry_after_ms } => {
+            Action::Refuse { request, retry_after_ms, .. } => {
                 self.with_request(65, instance, *request).extend(retry_after_ms.to_be_bytes());
             }
-            Action::Fail { request } => {
+            Action::Fail { request, .. } => {
                 self.with_request(66, instance, *request);
             }
             Action::Cancel { request, attempt } => self.with_request(67, instance, *request).push(*attempt),
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -52,12 +52,14 @@
     pub last_sent: Option<Instant>,
     /// How the last attempt that ended did.
     pub last_outcome: Option<Outcome>,
+    /// Why the module refused or failed it.
+    pub why: Option<Reason>,
 }
 
 impl Course {
     fn new() -> Course {
         let (server, first_sent, last_sent, last_outcome) = (None, None, None, None);
-        Course { attempts: 0, server, taken: Instant::now(), first_sent, last_sent, last_outcome }
+        Course { attempts: 0, server, taken: Instant::now(), first_sent, last_sent, last_outcome, why: None }
     }
 }
 
@@ -396,10 +398,10 @@
     fn carry_out(&self, state: &mut State<C>, action: Action) {
         match action {
             Action::Send { request, backend, timeout_ms } => self.send(state, request, backend, timeout_ms),
-            Action::Refuse { request, retry_after_ms } => {
-                Self::finish(state, request, Final::Refused(retry_after_ms));
+            Action::Refuse { request, retry_after_ms, why } => {
+                self.finish(state, request, Final::Refused(retry_after_ms), why);
             }
-            Action::Fail { request } => Self::finish(state, request, Final::Failed),
+            Action::Fail { request, why } => self.finish(state, request, Final::Failed, why),
             Action::Cancel { request, attempt } => {
                 let out = state.open.get_mut(&request).and_then(|open| open.out.as_mut());
                 if let Some(cancel) = out.filter(|o| o.attempt == attempt).and_then(|o| o.cancel.take()) {
@@ -425,8 +427,10 @@
         }
     }
 
-    fn finish(state: &mut State<C>, request: RequestId, with: Final<C>) {
+    fn finish(&self, state: &mut State<C>, request: RequestId, with: Final<C>, why: Reason) {
         if let Some(open) = state.open.get_mut(&request) {
+            open.course.why = Some(why);
+            self.metrics.unserved(open.class, why);
             open.answer(with);
         }
         Self::forget(state, request);
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -1,6 +1,6 @@
 //! What has happened since the start and what is going on now, in figures for the operators.
 
-use hillstall_module::api::Class;
+use hillstall_module::api::{Class, Reason};
 use std::cell::Cell;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -30,6 +30,7 @@
     deferred: Cell<u64>,
     errored: Cell<u64>,
     sends: Counter,
+    unserved: [Cell<u64>; Reason::ALL.len()],
 }
 
 /// What the proxy knows of its backends.
@@ -70,6 +71,13 @@
         });
     }
 
+    /// The module gave up a request of a class, for this reason.
+    pub fn unserved(&self, class: u8, why: Reason) {
+        if let Some(class) = self.classes.get(usize::from(class)) {
+            raise(&class.unserved[why as usize]);
+        }
+    }
+
     /// The count of attempts written whole, to be raised where that is seen.
     pub fn sends(&self, class: u8) -> Counter {
         self.classes.get(usize::from(class)).map(|class| class.sends.clone()).unwrap_or_default()
@@ -85,11 +93,15 @@
                 ("errored", &class.errored),
                 ("sends", &*class.sends),
             ];
+            // Names come from the settings; a quote in one must not end the label.
+            let name = class.name.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
             for (figure, count) in counts {
-                // Names come from the settings; a quote in one must not end the label.
-                let name = class.name.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
                 let _ = writeln!(text, "svc_{figure}{{group=\"{name}\"}} {}", count.get());
             }
+            for (why, count) in Reason::ALL.iter().zip(&class.unserved).filter(|(_, count)| count.get() > 0) {
+                let why = why.name();
+                let _ = writeln!(text, "svc_unserved{{group=\"{name}\",reason=\"{why}\"}} {}", count.get());
+            }
         }
         let _ = writeln!(text, "svc_current {}", self.current.get());
         let _ = writeln!(text, "svc_cluster_size {}", cluster.size);
@@ -132,11 +144,13 @@
         second.end(Ending::Errored);
         metrics.count(0, Ending::Deferred);
         raise(&metrics.sends(0));
+        metrics.unserved(0, Reason::Borrow);
         let cluster = Cluster { size: 7, unhealthy: 2 };
         let of = |current: u32| {
             format!(
                 "svc_answered{{group=\"a\\\"b\"}} 1\nsvc_deferred{{group=\"a\\\"b\"}} 1\n\
                  svc_errored{{group=\"a\\\"b\"}} 1\nsvc_sends{{group=\"a\\\"b\"}} 1\n\
+                 svc_unserved{{group=\"a\\\"b\",reason=\"borrow\"}} 1\n\
                  svc_current {current}\nsvc_cluster_size 7\nsvc_cluster_unhealthy 2\n"
             )
         };
--- a/crates/http1/src/front/record.rs
+++ b/crates/http1/src/front/record.rs
@@ -42,6 +42,7 @@
         let between = |from: Instant, to: Instant| ms(to.saturating_duration_since(from));
         let server = course.server.map(|server| server.to_string()).unwrap_or_default();
         let outcome = course.last_outcome.map(|outcome| format!("{outcome:?}")).unwrap_or_default();
+        let why = course.why.map(|why| why.name()).unwrap_or_default();
         tracing::info!(
             target: "hillstall::call",
             id,
@@ -53,6 +54,7 @@
             attempts = course.attempts,
             server,
             outcome,
+            why,
             read_ms = between(begun, course.taken),
             decide_ms = between(course.taken, first),
             earlier_ms = between(first, last),
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -1,7 +1,8 @@
 //! Who decides about calls in an experiment: the decision module, or a textbook rule to hold it against.
 
 use hillstall_module::api::{
-    Action, BackendId, BackendInfo, BackendState, Event, ListKind, Millis, Outcome, RequestId, Settings,
+    Action, BackendId, BackendInfo, BackendState, Event, ListKind, Millis, Outcome, Reason, RequestId,
+    Settings,
 };
 use hillstall_module::Balancer;
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
@@ -162,7 +163,7 @@
     fn send(&mut self, id: RequestId, attempts: u32, tried: Vec<BackendId>, actions: &mut Vec<Action>) {
         let picked = if attempts < self.most_attempts { self.pick(&tried) } else { None };
         let Some(at) = picked else {
-            return actions.push(Action::Refuse { request: id, retry_after_ms: 0.0 });
+            return actions.push(Action::Refuse { request: id, retry_after_ms: 0.0, why: Reason::NoBackend });
         };
         self.servers[at].1 += 1.0;
         let backend = self.servers[at].0.id;
@@ -199,7 +200,7 @@
                 } else if outcome.never_ran() && outcome != Outcome::Moot {
                     self.send(request, open.attempts, open.tried, actions);
                 } else {
-                    actions.push(Action::Fail { request });
+                    actions.push(Action::Fail { request, why: Reason::NoRepeat });
                 }
             }
             _ => {}
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -12,11 +12,13 @@
 type Figure = (&'static str, fn(&Tally) -> f64, usize);
 
 /// The columns: heading, figure, decimals.
-const COLUMNS: [Figure; 10] = [
+const COLUMNS: [Figure; 12] = [
     ("service", |t| 100.0 * t.service, 2),
     ("worst 10 s", |t| 100.0 * t.worst, 1),
     ("late %", |t| 100.0 * t.late, 2),
     ("refused %", |t| 100.0 * t.refused, 2),
+    ("by hot proxies %", |t| 100.0 * t.refused_hot, 1),
+    ("by cool proxies %", |t| 100.0 * t.refused_cool, 1),
     ("failed %", |t| 100.0 * t.failed, 2),
     ("p50 ms", |t| t.p50_ms, 1),
     ("p99 ms", |t| t.p99_ms, 0),
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -363,6 +363,29 @@
     pub times: Number,
 }
 
+/// A tenant: who calls, and how much of the service is its own.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sharer {
+    /// For people.
+    pub name: String,
+    /// Its part of the calls, against the other tenants' parts.
+    #[serde(default = "one")]
+    pub traffic: Number,
+    /// Calls within its share, as a part of what the fleet can do.
+    pub share: Number,
+}
+
+/// Proxies before the first tier that get more calls than the others.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Hot {
+    /// How many.
+    pub proxies: Number,
+    /// How many times the calls of a common one each of them gets; drawn for each.
+    pub times: Number,
+}
+
 fn zones() -> usize {
     1
 }
@@ -380,6 +403,14 @@
     pub zones: usize,
     /// Proxies before the first tier.
     pub proxies: Number,
+    /// Of these, the ones that get more calls than the others.
+    pub hot: Option<Hot>,
+    /// Who calls; without any, nobody has a share.
+    #[serde(rename = "tenant", default)]
+    pub tenants: Vec<Sharer>,
+    /// What worth beyond a tenant's share counts, as a part of it.
+    #[serde(default = "one")]
+    pub over_share_worth: Number,
     /// The tiers, from the top. Each machine has a proxy of its own to the next.
     #[serde(rename = "tier")]
     pub tiers: Vec<Tier>,
@@ -428,6 +459,8 @@
         let mut bounds = vec![
             ("length".to_string(), self.length.0.most() / 1e3, 86_400.0, "s"),
             ("proxies".to_string(), self.proxies.most(), 10_000.0, ""),
+            ("hot.times".to_string(), self.hot.map_or(0.0, |hot| hot.times.most()), 1_000.0, ""),
+            ("tenant".to_string(), self.tenants.len() as f64, 1_000.0, "tenants"),
             ("load.rate".to_string(), self.load.rate.map_or(0.0, Number::most), 1e6, "calls/s"),
             ("load.of_capacity".to_string(), self.load.of_capacity.map_or(0.0, Number::most), 100.0, ""),
         ];
--- a/crates/lab/src/scenarios.rs
+++ b/crates/lab/src/scenarios.rs
@@ -2,8 +2,9 @@
 
 use crate::scenario::{Invalid, Scenario};
 
-const ALL: [(&str, &str); 2] = [
+const ALL: [(&str, &str); 3] = [
     ("lose-hall", include_str!("../scenarios/lose-hall.toml")),
+    ("hot-copies", include_str!("../scenarios/hot-copies.toml")),
     ("one-hangs", include_str!("../scenarios/one-hangs.toml")),
 ];
 
--- a/crates/lab/src/sim/attempts.rs
+++ b/crates/lab/src/sim/attempts.rs
@@ -193,6 +193,9 @@
         }
         match a.caller {
             Caller::Client { call, no } => {
+                if end == End::Refused {
+                    self.tally.refused_by(a.proxy);
+                }
                 let at = self.now + self.figures.client;
                 self.queue.put(at, Happening::Final { call, no, end, come_back });
             }
--- a/crates/lab/src/sim/clients.rs
+++ b/crates/lab/src/sim/clients.rs
@@ -105,10 +105,12 @@
         if able.is_empty() {
             return;
         }
-        let proxy = able[(part(&mut self.network) * able.len() as f64) as usize];
+        let heat = able.iter().map(|p| self.figures.heat.get(*p).copied().unwrap_or(1.0));
+        let proxy = able[drawn(part(&mut self.network), heat)];
         if !self.proxies[proxy].alive {
             return;
         }
+        self.tally.came_to(proxy);
         let patience = self.patience(class);
         // What is left when the answer must set out.
         let ttl = patience.min(deadline - self.now + self.figures.client) - 2.0 * self.figures.client;
--- a/crates/lab/src/sim/day.rs
+++ b/crates/lab/src/sim/day.rs
@@ -237,6 +237,7 @@
         proxies,
         tiers,
         classes,
+        heat: Vec::new(),
         tenants: Vec::new(),
         over_share_worth: day.traffic.over_share_worth,
         own_work: true,
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -267,10 +267,10 @@
             Action::Send { request, backend, timeout_ms } => {
                 self.send(request as usize, backend as usize, timeout_ms);
             }
-            Action::Refuse { request, retry_after_ms } => {
+            Action::Refuse { request, retry_after_ms, .. } => {
                 self.answer(request as usize, queue::End::Refused, retry_after_ms);
             }
-            Action::Fail { request } => self.answer(request as usize, queue::End::Failed, 0.0),
+            Action::Fail { request, .. } => self.answer(request as usize, queue::End::Failed, 0.0),
             Action::Cancel { request, .. } => self.call_off(request as usize),
             Action::SetTimer { after_ms, token } => {
                 self.queue.put(self.now + after_ms, Happening::Timer { proxy, token });
--- a/crates/lab/src/sim/setup.rs
+++ b/crates/lab/src/sim/setup.rs
@@ -87,6 +87,8 @@
     pub(super) zone_share: Vec<f64>,
     /// The zone of each proxy before the first tier.
     pub(super) proxies: Vec<usize>,
+    /// How many times the calls of a common one each of them gets.
+    pub(super) heat: Vec<f64>,
     pub(super) tiers: Vec<TierOf>,
     pub(super) classes: Vec<ClassOf>,
     pub(super) tenants: Vec<TenantOf>,
@@ -160,10 +162,11 @@
         zones: scenario.zones,
         zone_share: vec![1.0; scenario.zones],
         proxies: (0..proxies).map(|rank| rank % scenario.zones).collect(),
+        heat: vec![1.0; proxies],
         tiers,
         classes,
         tenants: Vec::new(),
-        over_share_worth: 1.0,
+        over_share_worth: scenario.over_share_worth.draw(rng).min(1.0),
         own_work: false,
         rate: 0.0,
         swing: scenario.load.swing.draw(rng).min(1.0),
@@ -186,6 +189,18 @@
         (Some(rate), _) => rate.draw(rng),
         (None, part) => part.map_or(0.0, |part| part.draw(rng)) * figures.capacity(),
     };
+    if let Some(hot) = scenario.hot {
+        // The first ones: zones are dealt out in turn, so these are spread over them.
+        let many = hot.proxies.draw(rng).round() as usize;
+        figures.heat.iter_mut().take(many).for_each(|heat| *heat = hot.times.draw(rng));
+    }
+    let able = figures.capacity();
+    let tenants = scenario.tenants.iter().map(|t| TenantOf {
+        name: t.name.clone(),
+        traffic: t.traffic.draw(rng),
+        quota: t.share.draw(rng) * able,
+    });
+    figures.tenants = tenants.collect();
     figures
 }
 
--- a/crates/lab/src/sim/tally.rs
+++ b/crates/lab/src/sim/tally.rs
@@ -105,6 +105,12 @@
     pub refused: f64,
     /// Failed, or given up by the client.
     pub failed: f64,
+    /// Of the tries at the quarter of the first tier's proxies that got most of them, the part refused ...
+    #[serde(default)]
+    pub refused_hot: f64,
+    /// ... and at the quarter that got fewest.
+    #[serde(default)]
+    pub refused_cool: f64,
     /// Tries for each call.
     pub tries: f64,
     /// Attempts of all proxies for each call.
@@ -125,6 +131,9 @@
     pub seconds: Vec<Second>,
     #[serde(skip)]
     histogram: Option<Histogram<u64>>,
+    /// Of each proxy before the first tier: tries that came to it, and tries it refused.
+    #[serde(skip)]
+    by_proxy: Vec<[u64; 2]>,
     #[serde(skip)]
     all_attempts: u64,
     #[serde(skip)]
@@ -154,6 +163,8 @@
             late: 0.0,
             refused: 0.0,
             failed: 0.0,
+            refused_hot: 0.0,
+            refused_cool: 0.0,
             tries: 0.0,
             attempts: 0.0,
             mean_ms: 0.0,
@@ -167,6 +178,7 @@
                 seconds
             ],
             histogram: Histogram::new_with_max(LONGEST_US, 3).ok(),
+            by_proxy: Vec::new(),
             all_attempts: 0,
             shares,
         }
@@ -187,6 +199,34 @@
         self.second(at_ms).tries += 1;
     }
 
+    fn at_proxy(&mut self, proxy: usize) -> &mut [u64; 2] {
+        if self.by_proxy.len() <= proxy {
+            self.by_proxy.resize(proxy + 1, [0; 2]);
+        }
+        &mut self.by_proxy[proxy]
+    }
+
+    pub(super) fn came_to(&mut self, proxy: usize) {
+        self.at_proxy(proxy)[0] += 1;
+    }
+
+    pub(super) fn refused_by(&mut self, proxy: usize) {
+        self.at_proxy(proxy)[1] += 1;
+    }
+
+    /// The parts refused at the proxies with most and with fewest tries, a quarter of them each.
+    fn compare_proxies(&mut self) {
+        self.by_proxy.retain(|[came, _]| *came > 0);
+        self.by_proxy.sort_unstable();
+        let quarter = (self.by_proxy.len() / 4).max(1).min(self.by_proxy.len());
+        let part = |proxies: &[[u64; 2]]| {
+            let [came, refused] = [0, 1].map(|of| proxies.iter().map(|p| p[of]).sum::<u64>() as f64);
+            refused / came.max(1.0)
+        };
+        self.refused_cool = part(&self.by_proxy[..quarter]);
+        self.refused_hot = part(&self.by_proxy[self.by_proxy.len() - quarter..]);
+    }
+
     pub(super) fn sent(&mut self, at_ms: f64, tier: usize) {
         self.all_attempts += 1;
         if tier == 0 {
@@ -242,6 +282,7 @@
     pub(super) fn close(mut self, chokes: u64) -> Tally {
         self.chokes = chokes;
         self.count_worth();
+        self.compare_proxies();
         let sum = |f: fn(&Second) -> f64| self.seconds.iter().map(f).sum::<f64>();
         let offered = sum(|s| s.offered as f64).max(1.0);
         let (late, refused, failed) =
--- a/crates/lab/tests/experiments.rs
+++ b/crates/lab/tests/experiments.rs
@@ -54,6 +54,20 @@
     assert!(able(22) < 0.95, "the hall comes back cold: {}", able(22));
 }
 
+#[test]
+fn copies_with_many_times_the_calls_refuse_no_larger_part_than_the_others() {
+    let scenario = scenarios::find("hot-copies").expect("embedded");
+    for seed in 1..=3 {
+        let tally = sim::run(&scenario, Named::Hillstall, seed);
+        let (hot, cool) = (tally.refused_hot, tally.refused_cool);
+        assert!(
+            hot <= 2.0 * cool + 0.05,
+            "seed {seed}: {hot:.2} refused by hot copies, {cool:.2} by cool ones"
+        );
+        assert!(tally.service > 0.95, "seed {seed}: service {:.3}", tally.service);
+    }
+}
+
 #[test]
 fn a_mean_has_the_interval_of_students_t() {
     let mean = Mean::of(&[1.0, 2.0, 3.0]);
--- a/crates/module/src/api.rs
+++ b/crates/module/src/api.rs
@@ -428,6 +428,69 @@
     },
 }
 
+/// Why a request ends without having been served: the gate that shut, or what else stood in the way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The tier holds as many calls as its learned count.
+    Tier,
+    /// The class does.
+    Class,
+    /// It goes beyond its tenant's share, and there is no room to borrow.
+    Borrow,
+    /// No backend may be sent to.
+    NoBackend,
+    /// No time is left, or no attempt.
+    Spent,
+    /// An attempt failed that may have run, and its class permits no repeat now, or its client gave it up.
+    NoRepeat,
+    /// An attempt failed, and the repeats that were earned are used up.
+    Budget,
+    /// The settings have no such class.
+    UnknownClass,
+}
+
+impl Reason {
+    /// All of them, in the order of their places.
+    pub const ALL: [Reason; 8] = [
+        Reason::Tier,
+        Reason::Class,
+        Reason::Borrow,
+        Reason::NoBackend,
+        Reason::Spent,
+        Reason::NoRepeat,
+        Reason::Budget,
+        Reason::UnknownClass,
+    ];
+
+    /// The word for it in figures and records.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::Tier => "tier",
+            Reason::Class => "class",
+            Reason::Borrow => "borrow",
+            Reason::NoBackend => "no-backend",
+            Reason::Spent => "spent",
+            Reason::NoRepeat => "no-repeat",
+            Reason::Budget => "budget",
+            Reason::UnknownClass => "unknown-class",
+        }
+    }
+
+    /// The same for people.
+    pub fn text(self) -> &'static str {
+        match self {
+            Reason::Tier => "over a learned count",
+            Reason::Class => "over a learned count of its class",
+            Reason::Borrow => "over the tenant's share and no room to borrow",
+            Reason::NoBackend => "no backend may be sent to",
+            Reason::Spent => "no time or attempts left",
+            Reason::NoRepeat => "it may have run and must not be repeated",
+            Reason::Budget => "no repeats left",
+            Reason::UnknownClass => "no such class",
+        }
+    }
+}
+
 /// What a balancer wants done, in the order given.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -446,11 +509,15 @@
         request: RequestId,
         /// How long the client should stay away; 0 for no advice.
         retry_after_ms: Millis,
+        /// Why.
+        why: Reason,
     },
     /// Final answer: failed; promises nothing.
     Fail {
         /// The request.
         request: RequestId,
+        /// Why.
+        why: Reason,
     },
     /// Stop waiting for one attempt.
     Cancel {
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -73,6 +73,27 @@
 const SHARE_MS: Millis = 10_000.0;
 /// Room over a tenant's part at this copy, as fronts do not spread it quite evenly.
 const SHARE_SLACK: f64 = 1.1;
+/// Milliseconds over which what clients ask of this copy is averaged: traffic that shifts is followed in a
+/// few seconds.
+const DEMAND_MS: Millis = 3_000.0;
+/// The least of these milliseconds after which a fresh copy's average counts: less is chance.
+const DEMAND_LEAST: Millis = 500.0;
+/// Milliseconds between two looks at how hot this copy is.
+const HEAT_MS: Millis = 20.0;
+/// Times an even part up to which demand says nothing of one copy, as all may be asked for as much ...
+const HEAT_FROM: f64 = 1.5;
+/// ... and from which on a copy is hot for certain.
+const HEAT_SURE: f64 = 2.5;
+/// Copies for each part of heat at the most: where copies are few, each has enough of the traffic that it
+/// learns its own counts well, and crowds the tier by itself.
+const HEAT_COPIES: f64 = 8.0;
+/// Times the tier's usual stress above which a rise of the heat is believed little by little ...
+const HEAT_CROWD: f64 = 1.2;
+/// ... over so many milliseconds. Traffic that shifts between copies leaves the tier as it is; a burst at all
+/// copies crowds it, and must not have all counts rise at once.
+const HEAT_SLOW: Millis = 10_000.0;
+/// Times the usual heat of the tenants up to which one tenant's own counts.
+const HEAT_OVER: f64 = 2.0;
 /// Milliseconds over which the classes' parts of the traffic are averaged.
 const ASKED_MS: Millis = 10_000.0;
 /// Milliseconds between two looks at which classes yield.
@@ -132,8 +153,8 @@
         self.sum * (-(now - self.at).max(0.0) / tau).exp()
     }
 
-    fn add(&mut self, now: Millis, tau: Millis) {
-        self.sum = self.read(now, tau) + 1.0;
+    fn add(&mut self, now: Millis, tau: Millis, what: f64) {
+        self.sum = self.read(now, tau) + what;
         self.at = now;
     }
 }
@@ -145,7 +166,9 @@
     crowded: f64,
 }
 
-/// A FlowSlot node with its learned count (thread grade).
+/// A FlowSlot node with its learned count (thread grade). The count is for a copy that is asked for no more
+/// than an even part of the traffic; a hotter one admits `heat` times as many. Were counts learned for each
+/// copy as it is, they would all settle alike, and a copy with ten times the calls would refuse nine in ten.
 struct Node {
     count: f64,
     first: f64,
@@ -170,9 +193,9 @@
     }
 
     /// The check of FlowSlot; a part of a call in the count admits one more by that chance.
-    fn admits(&self, chance: f64) -> bool {
+    fn admits(&self, heat: f64, chance: f64) -> bool {
         let blind = if self.at == f64::MIN { BLIND } else { 1.0 };
-        self.in_flight + 1.0 <= self.count * blind + chance
+        self.in_flight + 1.0 <= self.count * heat * blind + chance
     }
 
     /// Learns from one finished call, itself still counted as in flight; true if the count was cut.
@@ -192,17 +215,20 @@
             let floor = if self.stress > limit.late { 0.0 } else { CROWDED_LEAST * self.first };
             self.cut_at = now;
             self.stress = most;
-            self.count = self.count.min((self.count.min(self.used) * CUT).max(floor).max(LEAST_COUNT));
+            let in_use = self.count.min(self.used / call.heat);
+            self.count = self.count.min((in_use * CUT).max(floor).max(LEAST_COUNT));
             return true;
         }
-        if call.stress <= most && self.used >= (IN_USE * self.count).min(self.count - 1.0) {
+        let room = self.count * call.heat;
+        if call.stress <= most && self.used >= (IN_USE * room).min(room - 1.0) {
             // Until the first cut the count rises at least twice as fast: nothing is known against it yet.
             let fresh = if self.cut_at == f64::MIN { (self.first / FRESH).clamp(2.0, 10.0) } else { 1.0 };
             let step = fresh * RISE.max(1.0 / self.count.max(1.0));
-            self.count += step * call.spare * (1.0 - self.stress / most);
+            // A hotter copy has as many more answers in each round, and rises as fast as the others.
+            self.count += step / call.heat * call.spare * (1.0 - self.stress / most);
             // An answer that took next to nothing of its time proves room for all that was out with it.
             if self.cut_at == f64::MIN && call.stress <= CROWDED_FROM && call.spare >= 1.0 {
-                self.count = self.count.max(self.used + 1.0);
+                self.count = self.count.max((self.used + 1.0) / call.heat);
             }
         }
         false
@@ -219,13 +245,17 @@
 }
 
 impl Usual {
+    fn is_known(&self) -> bool {
+        self.samples >= USUAL_SAMPLES / 4.0
+    }
+
     /// Takes a sample; gives the stress above which the tier holds more calls than it serves sooner for.
     fn crowded(&mut self, now: Millis, sample: f64) -> f64 {
         self.samples = (self.samples + 1.0).min(USUAL_SAMPLES);
         self.mean += (sample - self.mean) / self.samples;
         self.least *= 1.0 + CALM_DRIFT * (now - self.at).clamp(0.0, 1e4) / 1000.0;
         self.at = now;
-        if self.samples < USUAL_SAMPLES / 4.0 {
+        if !self.is_known() {
             return f64::MAX;
         }
         self.least = if self.least == 0.0 { self.mean } else { self.least.min(self.mean) };
@@ -344,6 +374,7 @@
     sent_at: Millis,
     stress: f64,
     spare: f64,
+    heat: f64,
 }
 
 #[derive(Clone, Copy)]
@@ -387,6 +418,13 @@
     classes: Vec<Node>,
     latencies: Vec<Latency>,
     shares: Vec<Fading>,
+    /// First tries of each tenant.
+    demand: Vec<Fading>,
+    /// See `feel_heat`.
+    heat: f64,
+    heat_at: Millis,
+    /// When the first request came.
+    asked_from: Option<Millis>,
     asked: Vec<Fading>,
     passed: Vec<Fading>,
     yielding: Vec<bool>,
@@ -414,6 +452,10 @@
         let classes = settings.classes.len();
         let tenants = settings.tenants.len();
         Balancer {
+            demand: (0..tenants).map(|_| Fading::default()).collect(),
+            heat: 1.0,
+            heat_at: f64::MIN,
+            asked_from: None,
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             part: 1.0,
             now: 0.0,
@@ -451,7 +493,10 @@
         self.now = if now > self.now { now } else { self.now };
         match event {
             Event::BackendsChanged { kind, backends, .. } => self.on_list(kind, backends, actions),
-            Event::Request { id, class, tenant, hint_ms, ttl_ms, .. } => {
+            Event::Request { id, class, tenant, hint_ms, ttl_ms, repeat, .. } => {
+                let demand = self.demand.get_mut(usize::from(tenant)).filter(|_| !repeat);
+                demand.into_iter().for_each(|demand| demand.add(now, DEMAND_MS, 1.0));
+                self.feel_heat();
                 self.on_request(id, class.into(), tenant.into(), hint_ms, ttl_ms, actions);
             }
             Event::Outcome { request, outcome, took_ms, ended, report, .. } => {
@@ -587,9 +632,10 @@
     ) {
         self.retries = (self.retries + RETRY_EARNED).min(RETRY_SAVED);
         let Some(rules) = self.settings.classes.get(class) else {
-            return actions.push(Action::Refuse { request: id, retry_after_ms: 0.0 });
+            let why = Reason::UnknownClass;
+            return actions.push(Action::Refuse { request: id, retry_after_ms: 0.0, why });
         };
-        self.asked[class].add(self.now, ASKED_MS);
+        self.asked[class].add(self.now, ASKED_MS, 1.0);
         // Below the top, without deadlines passed on, the full one is given though the caller has less left:
         // an answer after the aim that earns nothing is one nobody awaits.
         let guess = !self.settings.passes_deadline && self.settings.stage > 0 && rules.late_worth == 0.0;
@@ -620,7 +666,45 @@
             return false;
         }
         let part = tenant.allowance_per_s / f64::from(self.settings.fleet_size) * SHARE_SLACK;
-        share.read(self.now, SHARE_MS) + 1.0 > (part * SHARE_MS / 1000.0).max(1.0)
+        share.read(self.now, SHARE_MS) + 1.0 / self.heat > (part * SHARE_MS / 1000.0).max(1.0)
+    }
+
+    /// How many times an even part of the traffic this copy is asked for, at least one: what few calls have
+    /// out at once is spread by chance, and needs the room of an even part. Copies learn nothing from each
+    /// other; but all are told the tenants' shares, and those are much like what the tier can do. Clients'
+    /// repeats are left out where they are marked: refusing must not make room. Nor must one tenant's flood:
+    /// what it asks for beyond what is usual among tenants does not count.
+    fn feel_heat(&mut self) {
+        if self.settings.stage > 0 || self.now - self.heat_at < HEAT_MS {
+            return;
+        }
+        let passed = (self.now - self.heat_at).min(HEAT_SLOW);
+        self.heat_at = self.now;
+        // What a window that began empty holds by now of a steady rate.
+        let asked = self.now - *self.asked_from.get_or_insert(self.now);
+        let window = DEMAND_MS * (1.0 - (-asked.max(DEMAND_LEAST) / DEMAND_MS).exp());
+        let copies = f64::from(self.settings.fleet_size);
+        let even = |tenant: &Tenant| tenant.allowance_per_s / copies * window / 1000.0;
+        let (now, tenants) = (self.now, &self.settings.tenants);
+        let shared = self.demand.iter().zip(tenants).filter(|(_, tenant)| even(tenant) > 0.0);
+        let mut each: Vec<(f64, f64)> =
+            shared.map(|(asks, tenant)| (asks.read(now, DEMAND_MS) / even(tenant), even(tenant))).collect();
+        each.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let all: f64 = each.iter().map(|(_, even)| even).sum();
+        let mut below = 0.0;
+        let usual = each.iter().find(|(_, even)| {
+            below += even;
+            below >= all / 2.0
+        });
+        let most = usual.map_or(0.0, |(heat, _)| HEAT_OVER * heat);
+        let heat: f64 = each.iter().map(|(heat, even)| heat.min(most) * even).sum();
+        let asked = Some(heat / all).filter(|asked| asked.is_finite()).unwrap_or(1.0);
+        let certain = (asked - HEAT_FROM) / (HEAT_SURE - HEAT_FROM);
+        let heat = (1.0 + certain * (HEAT_SURE - 1.0)).min(asked).min(copies / HEAT_COPIES).max(1.0);
+        let crowded =
+            self.usual.is_known() && self.tier.stress > (self.usual.least * HEAT_CROWD).max(CROWDED_FROM);
+        let part = if heat > self.heat && crowded { passed / HEAT_SLOW } else { 1.0 };
+        self.heat += (heat - self.heat) * part;
     }
 
     /// The node check, then the pick. Without room or backend the request is refused, or failed where a
@@ -628,17 +712,11 @@
     fn try_send(&mut self, id: RequestId, mut held: Held, actions: &mut Vec<Action>) {
         let left = held.give_up_at - self.now;
         let allowed = held.attempts < self.settings.allowed.max_attempts && left > self.settings.tick_ms;
-        let admitted = allowed && self.admits(&held);
-        let backend = if admitted { self.pick(&held) } else { None };
-        let Some(i) = backend else {
-            let why = match (allowed, admitted, held.borrowed) {
-                (false, _, _) => "no time or attempts left",
-                (_, true, _) => "no backend may be sent to",
-                (_, _, true) => "over the tenant's share and no room to borrow",
-                (_, _, false) => "over a learned count",
-            };
-            self.log(actions, || format!("not sent: {why}"));
-            return self.give_up(id, &held, actions);
+        let shut = if allowed { self.shut_to(&held) } else { Some(Reason::Spent) };
+        let picked = shut.map_or_else(|| self.pick(&held).ok_or(Reason::NoBackend), Err);
+        let i = match picked {
+            Ok(i) => i,
+            Err(why) => return self.give_up(id, &held, why, actions),
         };
         let timeout_ms = self.attempt_timeout(&held, left);
         let backend = &mut self.backends[i];
@@ -652,25 +730,33 @@
         self.tier.in_flight += 1.0;
         self.classes[held.class].in_flight += 1.0;
         if held.attempts == 1 {
-            self.passed[held.class].add(self.now, ASKED_MS);
+            self.passed[held.class].add(self.now, ASKED_MS, 1.0);
         }
         self.borrow.in_flight += f64::from(u8::from(held.borrowed));
+        let part = 1.0 / self.heat;
         if let Some(share) = self.shares.get_mut(held.tenant).filter(|_| !held.borrowed && held.attempts == 1)
         {
-            share.add(self.now, SHARE_MS);
+            share.add(self.now, SHARE_MS, part);
         }
         actions.push(Action::Send { request: id, backend: to, timeout_ms });
         self.held.insert(id, held);
     }
 
-    fn admits(&mut self, held: &Held) -> bool {
-        let u = self.random();
-        let borrows = !held.borrowed || self.borrow.admits(u);
-        self.tier.admits(u) && self.classes[held.class].admits(u) && borrows
+    /// The gate that is shut to a call, if one is.
+    fn shut_to(&mut self, held: &Held) -> Option<Reason> {
+        let (heat, u) = (self.heat, self.random());
+        if held.borrowed && !self.borrow.admits(heat, u) {
+            Some(Reason::Borrow)
+        } else if !self.tier.admits(heat, u) {
+            Some(Reason::Tier)
+        } else {
+            Some(Reason::Class).filter(|_| !self.classes[held.class].admits(heat, u))
+        }
     }
 
     /// The final answer for a request with no attempt out.
-    fn give_up(&mut self, id: RequestId, held: &Held, actions: &mut Vec<Action>) {
+    fn give_up(&mut self, id: RequestId, held: &Held, why: Reason, actions: &mut Vec<Action>) {
+        self.log(actions, || format!("not sent: {}", why.text()));
         let rules = &self.settings.classes[held.class];
         let harmless = match (rules.effect, held.may_have_run) {
             (Effect::Repeatable, _) | (_, None) => true,
@@ -680,8 +766,8 @@
             (Effect::Once, Some(_)) => false,
         };
         actions.push(match harmless {
-            true => Action::Refuse { request: id, retry_after_ms: self.come_back(held.class) },
-            false => Action::Fail { request: id },
+            true => Action::Refuse { request: id, retry_after_ms: self.come_back(held.class), why },
+            false => Action::Fail { request: id, why },
         });
     }
 
@@ -732,11 +818,13 @@
         if ended || held.over {
             return;
         }
-        if self.may_repeat(&held, end.outcome) {
+        if !self.may_repeat(&held, end.outcome) {
+            self.give_up(id, &held, Reason::NoRepeat, actions);
+        } else if self.retries < 1.0 {
+            self.give_up(id, &held, Reason::Budget, actions);
+        } else {
             self.retries -= 1.0;
             self.try_send(id, held, actions);
-        } else {
-            self.give_up(id, &held, actions);
         }
     }
 
@@ -747,7 +835,7 @@
             (Effect::Keyed, Some((_, sent))) => self.now - sent < rules.window_ms,
             (Effect::Once, Some(_)) => false,
         };
-        permitted && self.retries >= 1.0 && outcome != Outcome::Moot && outcome != Outcome::Cancelled
+        permitted && outcome != Outcome::Moot && outcome != Outcome::Cancelled
     }
 
     // ---- learning ----
@@ -766,7 +854,7 @@
         let ok = outcome == Outcome::Ok;
         let expected = self.expected(held);
         if ok {
-            self.served.add(self.now, RATE_MS);
+            self.served.add(self.now, RATE_MS, 1.0);
             self.learn_latency(held, took);
         }
         let mut sound = true;
@@ -796,7 +884,8 @@
         if outcome == Outcome::Cancelled || outcome == Outcome::Moot {
             // A client that left: late for it. More would shut the gate where an idle tier is too slow.
             if held.over && self.settings.stage == 0 {
-                self.learn_counts(Sample { sent_at: attempt.sent_at, stress: 1.0, spare: 0.0 }, out);
+                let (sent_at, heat) = (attempt.sent_at, self.heat);
+                self.learn_counts(Sample { sent_at, stress: 1.0, spare: 0.0, heat }, out);
             }
             return;
         }
@@ -804,7 +893,8 @@
         // connection that did not come about, as while a zone is cut off.
         if ok || (sound && outcome != Outcome::ConnectFailed) {
             let stress = if ok { took / aim } else { FAILED_STRESS.max(took / aim) };
-            self.learn_counts(Sample { sent_at: attempt.sent_at, stress, spare }, out);
+            let (sent_at, heat) = (attempt.sent_at, self.heat);
+            self.learn_counts(Sample { sent_at, stress, spare, heat }, out);
         }
     }
 
--- a/crates/module/tests/module.rs
+++ b/crates/module/tests/module.rs
@@ -3,7 +3,12 @@
 use std::fs;
 
 fn module() -> String {
-    fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/src/choice.rs")).expect("src/choice.rs")
+    source("choice.rs")
+}
+
+fn source(name: &str) -> String {
+    let path = format!("{}/src/{name}", env!("CARGO_MANIFEST_DIR"));
+    fs::read_to_string(&path).expect(&path)
 }
 
 #[test]
@@ -34,7 +39,7 @@
 fn the_on_call_page_quotes_lines_that_the_module_writes() {
     let page =
         fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/ONCALL.md")).expect("the page");
-    let text = module();
+    let text = module() + &source("api.rs");
     let quoted: Vec<&str> = page.lines().filter_map(|l| l.strip_prefix("- `")?.split('`').next()).collect();
     assert!(quoted.len() >= 6);
     for line in quoted {
--- a/crates/module/tests/rules.rs
+++ b/crates/module/tests/rules.rs
@@ -303,7 +303,7 @@
                     );
                     told.answered = true;
                 }
-                Action::Fail { request } => {
+                Action::Fail { request, .. } => {
                     let told = self.told.get_mut(&request).expect("given");
                     prop_assert!(!told.answered, "a second answer");
                     told.answered = true;
