hillstall lab calls: a fleet's logs counted by load, reason, tier and second

Need: what a fleet loses is seen only over all copies together, and the table that found the hot copies was made by hand. The records of calls now tell their tier too.

--- a/crates/hillstall/src/lab.rs
+++ b/crates/hillstall/src/lab.rs
@@ -3,6 +3,7 @@
 use crate::commands::print;
 use crate::say;
 use clap::{Args, Subcommand};
+use hillstall_lab::calls::Fleet;
 use hillstall_lab::experiment::{self, Axis};
 use hillstall_lab::policy::Named;
 use hillstall_lab::report;
@@ -73,6 +74,11 @@
         #[command(flatten)]
         how: How,
     },
+    /// Count the calls that a fleet's logs tell of, by load of the proxies, reason, tier and second
+    Calls {
+        /// A folder in which each file is the log of one proxy, written with log.calls and as JSON
+        folder: PathBuf,
+    },
     /// Draw the page of results kept with --json
     Report {
         /// JSON lines
@@ -115,6 +121,11 @@
             print(text);
             Ok(())
         }
+        Lab::Calls { folder } => {
+            let fleet = Fleet::read(&folder).map_err(|why| why.to_string())?;
+            print(&fleet.tables());
+            Ok(())
+        }
         Lab::Run { scenario, policy, how } => {
             let (name, scenario) = parse(&scenario)?;
             let tallies = runs(&[(String::new(), scenario)], &policy, &how);
--- a/crates/http1/src/front/call.rs
+++ b/crates/http1/src/front/call.rs
@@ -150,6 +150,7 @@
                 id,
                 class: self.classes.get(usize::from(class)).map(|c| c.name.clone()).unwrap_or_default(),
                 tenant: self.tenants.get(usize::from(tenant)).map(|t| t.name.clone()).unwrap_or_default(),
+                tier: self.tier.clone(),
                 end: record::end(&ended.answer),
                 status: 0,
                 course: ended.course,
--- a/crates/http1/src/front/mod.rs
+++ b/crates/http1/src/front/mod.rs
@@ -52,6 +52,8 @@
     upstream: Rc<Upstream>,
     classes: Vec<Class>,
     tenants: Vec<Tenant>,
+    /// The name of the tier this proxy sends to, for the log.
+    tier: String,
     retry_after: bool,
     callers: RefCell<FxHashMap<u64, Rc<Caller>>>,
     /// The ids of the requests that are open here.
@@ -81,6 +83,7 @@
             upstream,
             classes: settings.classes.clone(),
             tenants: settings.tenants.clone(),
+            tier: settings.stages.get(settings.stage as usize).cloned().unwrap_or_default(),
             retry_after: settings.allowed.retry_after,
             callers: RefCell::default(),
             open_ids: Rc::default(),
--- a/crates/http1/src/front/record.rs
+++ b/crates/http1/src/front/record.rs
@@ -9,6 +9,8 @@
     pub(super) id: String,
     pub(super) class: String,
     pub(super) tenant: String,
+    /// The tier it was for.
+    pub(super) tier: String,
     pub(super) end: &'static str,
     pub(super) status: u16,
     pub(super) course: Course,
@@ -36,7 +38,7 @@
     /// Writes the record, now that the answer has gone to the connection, or can't. Phases are in milliseconds:
     /// reading the call, deciding on its first attempt, all attempts but the last, the last, and writing.
     pub(super) fn write(self: Box<Self>, whole: bool) {
-        let Record { id, class, tenant, end, status, course, begun, ended } = *self;
+        let Record { id, class, tenant, tier, end, status, course, begun, ended } = *self;
         let first = course.first_sent.unwrap_or(ended);
         let last = course.last_sent.unwrap_or(ended);
         let between = |from: Instant, to: Instant| ms(to.saturating_duration_since(from));
@@ -48,6 +50,7 @@
             id,
             class,
             tenant,
+            tier,
             end,
             status,
             whole,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,9 +1,10 @@
 //! What a proxy stands between, in two forms that are for measurements, rehearsals and a first look, and no part of
 //! the proxy. On loopback sockets: servers that answer at once, the service that lists them, a bare byte relay as the
 //! limit of what any proxy can do, and callers that measure. In simulated time: servers that crowd, choke, hang and
-//! die, clients that try again, and experiments that hold policies against each other.
+//! die, clients that try again, and experiments that hold policies against each other. And what a fleet's logs tell.
 
 pub mod callers;
+pub mod calls;
 mod chance;
 pub mod discovery;
 pub mod experiment;
