--- /dev/null
+++ b/crates/drill/src/faults.rs
@@ -0,0 +1,311 @@
+//! What goes wrong, as the scenario has it: each failure begins and ends at its time, on processes, servers, lists and
+//! links. What simulated time does to its models is done here to real ones.
+
+use crate::fleet::{Ends, Fleet, NoDrill};
+use crate::keeper::Sign;
+use crate::link::Fault;
+use crate::list::unix_ms;
+use crate::record::{Cut as CutSeen, Status};
+use hillstall_lab::scenario::{Between, Mode, What};
+use hillstall_lab::sim::setup::FailureOf;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until};
+
+/// How long a drained server takes to start again (ms).
+const RESTART_MS: f64 = 500.0;
+/// How long after SIGTERM a proxy is killed: the longest deadline and this (ms).
+const KILL_MS: f64 = 700.0;
+/// How long a server that drains still takes calls (ms).
+const SERVES_ON_MS: f64 = 1_200.0;
+
+/// Plays the scenario's failures.
+pub struct Faults {
+    fleet: Rc<Fleet>,
+    wrong: RefCell<Vec<String>>,
+}
+
+impl Faults {
+    /// Those of a fleet.
+    pub fn new(fleet: Rc<Fleet>) -> Rc<Faults> {
+        Rc::new(Faults { fleet, wrong: RefCell::default() })
+    }
+
+    /// What went wrong with the rig itself.
+    pub fn wrong(&self) -> Vec<String> {
+        self.wrong.take()
+    }
+
+    /// Starts all of them.
+    pub fn play(self: &Rc<Faults>) {
+        for (index, failure) in self.fleet.figures.failures.iter().cloned().enumerate() {
+            let faults = self.clone();
+            spawn_local(async move {
+                let history = faults.fleet.history.clone();
+                sleep_until(history.instant(failure.at)).await;
+                faults.begin(&failure).await;
+                sleep_until(history.instant(failure.at + failure.lasts)).await;
+                faults.end(&failure, index);
+            });
+        }
+    }
+
+    fn sure(&self, done: Result<(), NoDrill>) {
+        if let Err(why) = done {
+            self.wrong.borrow_mut().push(why.to_string());
+        }
+    }
+
+    /// The numbers of a tier's servers.
+    fn tier(&self, tier: usize) -> std::ops::Range<usize> {
+        let tiers = &self.fleet.figures.tiers;
+        let first: usize = tiers.iter().take(tier).map(|t| t.places.len()).sum();
+        first..first + tiers[tier].places.len()
+    }
+
+    /// The servers that a failure is about, as in simulated time: a part of the tier, from the first on.
+    fn meant(&self, failure: &FailureOf) -> Vec<usize> {
+        let all = self.tier(failure.tier);
+        let count = ((failure.part * all.len() as f64).round() as usize).clamp(1, all.len());
+        all.take(count).collect()
+    }
+
+    fn fronts(&self, part: f64) -> Vec<usize> {
+        let all = self.fleet.fronts;
+        (0..((part * all as f64).round() as usize).clamp(1, all)).collect()
+    }
+
+    async fn begin(self: &Rc<Faults>, failure: &FailureOf) {
+        match failure.what {
+            What::Burst => {}
+            What::DiscoveryDown => self.fleet.lists.iter().for_each(|list| list.set_down(true)),
+            What::Slow => {
+                let times = failure.times.max(1e-3);
+                self.tier(failure.tier).for_each(|server| self.fleet.servers[server].slow(times));
+            }
+            What::Hang => {
+                self.meant(failure).into_iter().for_each(|server| self.fleet.servers[server].hang(true));
+            }
+            What::Crash => self.meant(failure).into_iter().for_each(|server| self.die(server, false)),
+            What::LoseZone => self.lose_zone(failure.zone),
+            What::Release => self.release(failure),
+            What::KillProxies => {
+                for front in self.fronts(failure.part) {
+                    self.sure(self.fleet.signal(front, Sign::Kill));
+                }
+            }
+            What::StopProxies => {
+                for front in self.fronts(failure.part) {
+                    self.sure(self.fleet.signal(front, Sign::Stop));
+                }
+            }
+            What::ReloadProxies => {
+                for front in self.fronts(failure.part) {
+                    self.sure(self.fleet.signal(front, Sign::Reload));
+                }
+            }
+            What::RollProxies => self.roll(failure).await,
+            What::Cut => self.cut(failure, true),
+        }
+    }
+
+    fn end(self: &Rc<Faults>, failure: &FailureOf, _index: usize) {
+        match failure.what {
+            What::DiscoveryDown => self.fleet.lists.iter().for_each(|list| list.set_down(false)),
+            What::Slow => self.tier(failure.tier).for_each(|server| self.fleet.servers[server].slow(1.0)),
+            What::Hang => {
+                self.meant(failure).into_iter().for_each(|server| self.fleet.servers[server].hang(false));
+            }
+            What::Crash => self.meant(failure).into_iter().for_each(|server| self.revive(server)),
+            What::LoseZone => self.return_zone(failure.zone),
+            What::KillProxies => self.fronts(failure.part).into_iter().for_each(|front| self.start(front)),
+            What::StopProxies => {
+                for front in self.fronts(failure.part) {
+                    self.sure(self.fleet.signal(front, Sign::Go));
+                }
+            }
+            What::Cut => self.cut(failure, false),
+            What::Burst | What::Release | What::ReloadProxies | What::RollProxies => {}
+        }
+    }
+
+    /// Starts a proxy again, in its own time.
+    fn start(self: &Rc<Faults>, process: usize) {
+        let faults = self.clone();
+        spawn_local(async move {
+            let started = faults.fleet.start_process(process).await;
+            faults.sure(started);
+        });
+    }
+
+    /// Tells the list of a server, as late as it is.
+    fn list(self: &Rc<Faults>, server: usize, status: Status, notice: f64) {
+        let fleet = self.fleet.clone();
+        let since = (status == Status::Ready).then(unix_ms);
+        spawn_local(async move {
+            sleep(Duration::from_secs_f64(notice / 1e3)).await;
+            fleet.lists.iter().for_each(|list| list.change(server, status, since));
+        });
+    }
+
+    fn die(self: &Rc<Faults>, server: usize, silently: bool) {
+        let of = &self.fleet.servers[server];
+        of.die(silently);
+        if let Some(process) = of.own_proxy() {
+            self.sure(self.fleet.signal(process, Sign::Kill));
+        }
+        let figures = &self.fleet.figures;
+        let notice = if silently { figures.silent_notice } else { figures.notice };
+        self.list(server, Status::Gone, notice);
+    }
+
+    /// A server starts, cold, with its proxy; it takes calls once that is up.
+    fn revive(self: &Rc<Faults>, server: usize) {
+        let faults = self.clone();
+        spawn_local(async move {
+            let of = faults.fleet.servers[server].clone();
+            if let Some(process) = of.own_proxy() {
+                let started = faults.fleet.start_process(process).await;
+                faults.sure(started);
+            }
+            of.start();
+            if let Err(why) = of.listen() {
+                faults.wrong.borrow_mut().push(format!("server {server} can't listen again: {why}"));
+            }
+            faults.list(server, Status::Ready, faults.fleet.figures.add_notice);
+        });
+    }
+
+    /// The links that lead into a zone, or from a zone into another.
+    fn of_zone(&self, zone: usize, ends: Ends) -> bool {
+        let process = &self.fleet.processes[ends.process()];
+        match ends {
+            Ends::Server { server, .. } => {
+                self.fleet.servers[server].figures.zone == zone || process.zone == zone
+            }
+            Ends::Door { .. } | Ends::List { .. } => process.zone == zone,
+        }
+    }
+
+    fn lose_zone(self: &Rc<Faults>, zone: usize) {
+        self.fleet.set(Fault::Silent, |ends| self.of_zone(zone, ends));
+        for server in 0..self.fleet.servers.len() {
+            if self.fleet.servers[server].figures.zone == zone {
+                self.die(server, true);
+            }
+        }
+        for front in 0..self.fleet.fronts {
+            if self.fleet.processes[front].zone == zone {
+                self.sure(self.fleet.signal(front, Sign::Kill));
+            }
+        }
+    }
+
+    fn return_zone(self: &Rc<Faults>, zone: usize) {
+        for (ends, link) in &self.fleet.links {
+            if self.of_zone(zone, *ends) {
+                link.reset();
+                link.set(Fault::None);
+            }
+        }
+        for server in 0..self.fleet.servers.len() {
+            let of = &self.fleet.servers[server];
+            if of.figures.zone == zone {
+                // Until its process listens, connections are refused.
+                of.die(false);
+                self.revive(server);
+            }
+        }
+        (0..self.fleet.fronts)
+            .filter(|front| self.fleet.processes[*front].zone == zone)
+            .for_each(|front| self.start(front));
+    }
+
+    /// One after another: the list says that it drains; it serves on for a while, ends, and starts again cold.
+    fn release(self: &Rc<Faults>, failure: &FailureOf) {
+        let machines = self.meant(failure);
+        let each = failure.lasts / machines.len() as f64;
+        for (i, server) in machines.into_iter().enumerate() {
+            let faults = self.clone();
+            spawn_local(async move {
+                let history = faults.fleet.history.clone();
+                let begins = history.now() + i as f64 * each;
+                sleep_until(history.instant(begins)).await;
+                let of = faults.fleet.servers[server].clone();
+                let notice = faults.fleet.figures.notice;
+                faults.list(server, Status::Draining, notice);
+                let stops = begins + 0.8 * each;
+                // Never before all know of it: such a stop would be a crash.
+                let refuses = (begins + notice + SERVES_ON_MS).min(stops);
+                sleep_until(history.instant(refuses)).await;
+                of.drain();
+                sleep_until(history.instant(stops)).await;
+                faults.die(server, false);
+                sleep(Duration::from_secs_f64(RESTART_MS / 1e3)).await;
+                faults.revive(server);
+            });
+        }
+    }
+
+    /// Fronts are restarted in order, one after another.
+    async fn roll(self: &Rc<Faults>, failure: &FailureOf) {
+        let fronts = self.fronts(failure.part);
+        let each = Duration::from_secs_f64(failure.lasts / fronts.len() as f64 / 1e3);
+        for front in fronts {
+            let faults = self.clone();
+            spawn_local(async move { faults.restart(front).await });
+            sleep(each).await;
+        }
+    }
+
+    async fn restart(self: Rc<Faults>, front: usize) {
+        self.sure(self.fleet.signal(front, Sign::Term));
+        let deadline = self.fleet.figures.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let until = self.fleet.history.now() + deadline + KILL_MS;
+        while self.fleet.processes[front].runs.get() {
+            if self.fleet.history.now() > until {
+                self.sure(self.fleet.signal(front, Sign::Kill));
+                break;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        let started = self.fleet.start_process(front).await;
+        self.sure(started);
+    }
+
+    fn cut(&self, failure: &FailureOf, begins: bool) {
+        let cut = &failure.cut;
+        let fault = match cut.mode {
+            _ if !begins => Fault::None,
+            Mode::Silent => Fault::Silent,
+            Mode::LoseForth => Fault::LoseForth,
+            Mode::LoseBack => Fault::LoseBack,
+            Mode::Reset => Fault::Reset,
+            Mode::Refuse => Fault::Refuse,
+            Mode::Delay => Fault::Delay(Duration::from_secs_f64(cut.delay / 1e3)),
+        };
+        let copies = |tier: usize| self.fleet.processes.iter().filter(|p| p.tier == tier).count();
+        let meant = |ends: Ends| {
+            let of = &self.fleet.processes[ends.process()];
+            let from = cut.is_from(failure.part, (of.rank, copies(of.tier)), of.zone);
+            from && match (cut.link, ends) {
+                (Between::ProxyServer, Ends::Server { server, .. }) => {
+                    of.tier == failure.tier && cut.is_to(self.fleet.servers[server].figures.zone)
+                }
+                (Between::ClientFront, Ends::Door { .. }) => true,
+                (Between::ProxyDiscovery, Ends::List { .. }) => of.tier == failure.tier,
+                _ => false,
+            }
+        };
+        self.fleet.set(fault, meant);
+        if begins && cut.link == Between::ClientFront {
+            let (from, to) = (failure.at, failure.at + failure.lasts);
+            let doors = self.fleet.links.iter().map(|(ends, _)| *ends).filter(|ends| meant(*ends));
+            for process in doors.map(Ends::process) {
+                self.fleet.history.note(|seen| seen.cuts.push(CutSeen { process, from, to }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/fleet.rs
@@ -0,0 +1,525 @@
+//! A whole fleet: fronts, servers with proxies of their own, lists, and the links between them.
+
+use crate::keeper::{Keeper, News, Sign, Start};
+use crate::link::{Callers, Fault, Link, Passed};
+use crate::list::{Entry, Roster};
+use crate::platform;
+use crate::port::Port;
+use crate::record::{History, Life, Lived, Status};
+use crate::referee::{Server as TrueServer, Truth};
+use crate::server::{Below, Figures as ServerFigures, Server, WhoCalls};
+use hillstall_lab::scenario::Repeats;
+use hillstall_lab::sim::setup::{chance, Figures, Stream};
+use hillstall_lab::sim::Tally;
+use hillstall_module::api::Settings;
+use rand_xoshiro::rand_core::RngCore;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::Result as IoResult;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
+
+/// Until a process must be up: far above anything seen.
+const UP_WITHIN: Duration = Duration::from_secs(30);
+/// How often a process that starts is asked whether it is up.
+const LOOK: Duration = Duration::from_millis(15);
+
+/// Why a drill can't be played.
+#[derive(Debug, thiserror::Error)]
+pub enum NoDrill {
+    /// The system refuses something: sockets, files, processes.
+    #[error("{what}: {why}")]
+    System {
+        /// What was wanted.
+        what: String,
+        /// What the system says.
+        why: std::io::Error,
+    },
+    /// A process did not come up.
+    #[error("{name} is not up after {seconds} s; its log ends with:\n{log}")]
+    NotUp {
+        /// Its name.
+        name: String,
+        /// How long it had.
+        seconds: u64,
+        /// The end of its log.
+        log: String,
+    },
+}
+
+/// Words for an error of the system's.
+pub(crate) fn system(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> NoDrill {
+    let what = what.into();
+    move |why| NoDrill::System { what, why }
+}
+
+/// What a link leads from and to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Ends {
+    /// From clients to a front.
+    Door {
+        /// The front.
+        process: usize,
+    },
+    /// From a proxy to a server.
+    Server {
+        /// The proxy.
+        process: usize,
+        /// The server.
+        server: usize,
+    },
+    /// From a proxy to the list.
+    List {
+        /// The proxy.
+        process: usize,
+    },
+}
+
+impl Ends {
+    /// The proxy at one of its ends.
+    pub fn process(self) -> usize {
+        match self {
+            Ends::Door { process } | Ends::Server { process, .. } | Ends::List { process } => process,
+        }
+    }
+}
+
+/// A proxy of the fleet.
+pub struct Process {
+    /// Its number.
+    pub number: usize,
+    /// Its name.
+    pub name: String,
+    /// The tier it sends to.
+    pub tier: usize,
+    /// Its rank among the proxies before that tier.
+    pub rank: usize,
+    /// Its zone.
+    pub zone: usize,
+    /// What it is told.
+    pub settings: Settings,
+    port: Port,
+    folder: PathBuf,
+    /// Whether it takes calls, as far as the rig knows.
+    pub up: Cell<bool>,
+    /// Whether its process runs.
+    pub runs: Cell<bool>,
+}
+
+impl Process {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.port.address()
+    }
+
+    /// Its log.
+    pub fn log(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// What it was drawn as.
+    pub figures: Figures,
+    /// What was seen.
+    pub history: Rc<History>,
+    /// What clients got.
+    pub tally: RefCell<Tally>,
+    /// The proxies; the fronts come first.
+    pub processes: Vec<Process>,
+    /// How many of them are fronts.
+    pub fronts: usize,
+    /// The servers, tier by tier.
+    pub servers: Vec<Rc<Server>>,
+    /// The list of each tier.
+    pub lists: Vec<Rc<Roster>>,
+    /// All links, with their ends.
+    pub links: Vec<(Ends, Rc<Link>)>,
+    by_ends: HashMap<Ends, usize>,
+    lives: Rc<RefCell<Vec<u32>>>,
+    keeper: RefCell<Keeper>,
+    program: PathBuf,
+    seeds: RefCell<Xoshiro256PlusPlus>,
+}
+
+/// Changes what the proxies are told: to see what a rule is for, or that the referee sees it broken.
+pub type Lie = Rc<dyn Fn(&mut Settings)>;
+
+/// What a fleet is made of.
+pub struct Plan<'a> {
+    /// The program whose `run` is each proxy and whose `lab keeper` owns them.
+    pub program: &'a Path,
+    /// The figures.
+    pub figures: Figures,
+    /// The seed.
+    pub seed: u64,
+    /// What the proxies are told wrongly, if anything.
+    pub lie: Option<Lie>,
+    /// Where files go.
+    pub folder: &'a Path,
+}
+
+struct Sketch {
+    name: String,
+    tier: usize,
+    rank: usize,
+    copies: usize,
+    zone: usize,
+    port: Port,
+}
+
+fn sketches(figures: &Figures) -> IoResult<Vec<Sketch>> {
+    let mut all = Vec::new();
+    for (rank, zone) in figures.proxies.iter().enumerate() {
+        let (copies, port) = (figures.proxies.len(), Port::take()?);
+        all.push(Sketch { name: format!("front-{rank}"), tier: 0, rank, copies, zone: *zone, port });
+    }
+    for (above, tier) in figures.tiers.iter().take(figures.tiers.len() - 1).enumerate() {
+        for (rank, place) in tier.places.iter().enumerate() {
+            let (copies, port) = (tier.places.len(), Port::take()?);
+            let name = format!("beside-s{above}-{rank}");
+            all.push(Sketch { name, tier: above + 1, rank, copies, zone: place.zone, port });
+        }
+    }
+    Ok(all)
+}
+
+impl Fleet {
+    /// Starts everything, and waits until all of it is up.
+    pub async fn start(plan: Plan<'_>) -> Result<Rc<Fleet>, NoDrill> {
+        let Plan { program, figures, seed, lie, folder } = plan;
+        let history = Rc::new(History::default());
+        let callers = Callers::default();
+        let owners: Rc<RefCell<Vec<usize>>> = Rc::default();
+        let sketches = sketches(&figures).map_err(system("ports"))?;
+        let lives = Rc::new(RefCell::new(vec![0u32; sketches.len()]));
+        let who: WhoCalls = {
+            let (owners, lives) = (owners.clone(), lives.clone());
+            Rc::new(move |link| {
+                let process = owners.borrow()[link];
+                (process, lives.borrow()[process])
+            })
+        };
+        let servers = servers(&figures, &sketches, &history, (&callers, &who)).map_err(system("servers"))?;
+        // Links, and what each proxy reaches each server by.
+        let places: Rc<RefCell<HashMap<(usize, usize), SocketAddr>>> = Rc::default();
+        let mut links: Vec<(Ends, Rc<Link>)> = Vec::new();
+        let mut link = |ends: Ends, to: SocketAddr| {
+            owners.borrow_mut().push(ends.process());
+            let link = Link::start(links.len(), to, callers.clone()).map_err(system("a link"))?;
+            links.push((ends, link.clone()));
+            Ok::<_, NoDrill>(link)
+        };
+        let first_of = |tier: usize| figures.tiers.iter().take(tier).map(|t| t.places.len()).sum::<usize>();
+        for (process, sketch) in sketches.iter().enumerate() {
+            let first = first_of(sketch.tier);
+            let many = figures.tiers[sketch.tier].places.len();
+            for (server, of) in servers.iter().enumerate().skip(first).take(many) {
+                let link = link(Ends::Server { process, server }, of.address())?;
+                places.borrow_mut().insert((process, server), link.address());
+                of.is_reached_by(link);
+            }
+        }
+        let (mut lists, mut lists_at) = (Vec::new(), Vec::new());
+        for (tier, of) in figures.tiers.iter().enumerate() {
+            let entries = (0..of.places.len()).map(|n| Entry {
+                server: first_of(tier) + n,
+                name: format!("s{tier}-{n}"),
+                zone: of.places[n].zone,
+                status: Status::Ready,
+                since_ms: 0.0,
+            });
+            let places = places.clone();
+            let places = Rc::new(move |process, server| places.borrow()[&(process, server)]);
+            let roster =
+                Roster::new(history.clone(), (callers.clone(), who.clone()), places, entries.collect());
+            let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.map_err(system("a list"))?;
+            lists_at.push(listener.local_addr().map_err(system("a list"))?);
+            spawn_local(roster.clone().serve(listener));
+            lists.push(roster);
+        }
+        let mut lists_by = Vec::new();
+        for (process, sketch) in sketches.iter().enumerate() {
+            lists_by.push(link(Ends::List { process }, lists_at[sketch.tier])?.address());
+        }
+        for (process, sketch) in sketches.iter().enumerate().take(figures.proxies.len()) {
+            link(Ends::Door { process }, sketch.port.address())?;
+        }
+        let processes: Vec<Process> = (sketches.into_iter().enumerate())
+            .map(|(number, s)| {
+                let mut settings = figures.settings(s.tier, s.rank, s.copies, s.zone);
+                if let Some(lie) = &lie {
+                    lie(&mut settings);
+                }
+                let folder = folder.join(&s.name);
+                Process {
+                    number,
+                    name: s.name,
+                    tier: s.tier,
+                    rank: s.rank,
+                    zone: s.zone,
+                    settings,
+                    port: s.port,
+                    folder,
+                    up: Cell::new(false),
+                    runs: Cell::new(false),
+                }
+            })
+            .collect();
+        let (tell, news) = mpsc::unbounded_channel();
+        let keeper = Keeper::start(program, &["lab", "keeper"], move |news| {
+            // Nobody listens any more once the drill is over.
+            let _ = tell.send(news);
+        });
+        let tally = Tally::new("drill", seed, figures.length, figures.shares());
+        let fleet = Rc::new(Fleet {
+            fronts: figures.proxies.len(),
+            tally: RefCell::new(tally),
+            history,
+            processes,
+            servers,
+            lists,
+            by_ends: links.iter().enumerate().map(|(place, (ends, _))| (*ends, place)).collect(),
+            links,
+            lives,
+            keeper: RefCell::new(keeper.map_err(system("the keeper"))?),
+            program: program.to_path_buf(),
+            seeds: RefCell::new(chance(seed, Stream::Policies)),
+            figures,
+        });
+        spawn_local(hear(Rc::downgrade(&fleet), news));
+        for (process, list) in fleet.processes.iter().zip(lists_by) {
+            std::fs::create_dir_all(process.folder.join("tmp")).map_err(system("a folder"))?;
+            fleet.launch(process.number, list)?;
+        }
+        for process in 0..fleet.processes.len() {
+            fleet.wait_up(process).await?;
+        }
+        for server in &fleet.servers {
+            server.listen().map_err(system("a server"))?;
+        }
+        Ok(fleet)
+    }
+
+    /// The link of a kind that leads from a proxy, or to it.
+    pub fn link(&self, ends: Ends) -> &Rc<Link> {
+        // All links there can be were made at the start.
+        &self.links[self.by_ends[&ends]].1
+    }
+
+    /// What passed over some links together.
+    pub fn passed(&self, which: impl Fn(Ends) -> bool) -> Passed {
+        let each = self.links.iter().filter(|(ends, _)| which(*ends)).map(|(_, link)| link.passed());
+        each.fold(Passed::default(), |a, b| Passed {
+            connections: a.connections + b.connections,
+            forth: a.forth + b.forth,
+            back: a.back + b.back,
+        })
+    }
+
+    /// Sets what is wrong with some links.
+    pub fn set(&self, fault: Fault, which: impl Fn(Ends) -> bool) {
+        let meant = self.links.iter().filter(|(ends, _)| which(*ends));
+        meant.for_each(|(_, link)| link.set(fault));
+    }
+
+    /// The truth, for the referee.
+    pub fn truth(&self) -> Truth {
+        let delays = self.figures.failures.iter().map(|f| f.cut.delay);
+        let mean = self.figures.mean_work();
+        let mut below = 1.0;
+        let mut work = Vec::new();
+        for tier in &self.figures.tiers {
+            work.push(mean * tier.part / below);
+            below *= tier.calls.max(1.0);
+        }
+        Truth {
+            settings: self.figures.settings(0, 0, self.fronts, 0),
+            servers: (self.figures.tiers.iter().enumerate())
+                .flat_map(|(tier, of)| {
+                    of.places.iter().enumerate().map(move |(n, place)| (tier, of, n, place))
+                })
+                .map(|(tier, of, n, place)| TrueServer {
+                    name: format!("s{tier}-{n}"),
+                    tier,
+                    able: place.speed * of.kind.cores as f64,
+                    cold_from: of.kind.cold_from,
+                    cold: of.kind.cold,
+                })
+                .collect(),
+            processes: self.processes.iter().map(|p| p.name.clone()).collect(),
+            work,
+            delay: delays.fold(0.0, f64::max),
+        }
+    }
+
+    fn note(&self, process: usize, what: Lived) {
+        let at = self.history.now();
+        self.history.note(|seen| seen.lives.push(Life { process, at, what }));
+    }
+
+    fn launch(&self, number: usize, list: SocketAddr) -> Result<(), NoDrill> {
+        let process = &self.processes[number];
+        let config = process.folder.join("config.json");
+        let told = platform::Told {
+            name: &process.name,
+            listen: process.address(),
+            discovery: list,
+            seed: self.seeds.borrow_mut().next_u64(),
+            known: self.lists[process.tier].known(number),
+            settings: &process.settings,
+        };
+        let text = platform::file(&told).to_string();
+        std::fs::write(&config, text).map_err(system(config.display().to_string()))?;
+        let text = |path: &Path| path.display().to_string();
+        let start = Start {
+            number,
+            program: self.program.clone(),
+            arguments: ["run", "--set", "log.calls=true", "--set", "log.format=json"]
+                .map(String::from)
+                .into(),
+            environment: vec![
+                ("NODE_NAME".into(), process.name.clone()),
+                ("NODE_LISTEN".into(), process.address().to_string()),
+                ("NODE_DISCOVERY".into(), list.to_string()),
+                ("NODE_CONFIG".into(), text(&config)),
+                ("TMPDIR".into(), text(&process.folder.join("tmp"))),
+            ],
+            log: process.log(),
+        };
+        self.lives.borrow_mut()[number] += 1;
+        self.note(number, Lived::Started);
+        process.runs.set(true);
+        self.keeper.borrow_mut().run(start).map_err(system("the keeper"))
+    }
+
+    /// Starts a proxy again, with nothing learned, and waits until it is up.
+    pub async fn start_process(&self, number: usize) -> Result<(), NoDrill> {
+        let end = Instant::now() + UP_WITHIN;
+        // A name is only started once the process before it has been reaped.
+        while self.processes[number].runs.get() && Instant::now() < end {
+            sleep(LOOK).await;
+        }
+        let list = self.link(Ends::List { process: number }).address();
+        self.launch(number, list)?;
+        self.wait_up(number).await
+    }
+
+    /// Waits until a proxy says that it takes calls.
+    async fn wait_up(&self, number: usize) -> Result<(), NoDrill> {
+        let process = &self.processes[number];
+        let up = async {
+            while !says_up(process.address()).await {
+                sleep(LOOK).await;
+            }
+        };
+        if timeout(UP_WITHIN, up).await.is_err() {
+            let log = std::fs::read_to_string(process.log()).unwrap_or_default();
+            let from = log.char_indices().rev().nth(2_000).map_or(0, |(at, _)| at);
+            let seconds = UP_WITHIN.as_secs();
+            return Err(NoDrill::NotUp { name: process.name.clone(), seconds, log: log[from..].into() });
+        }
+        process.up.set(true);
+        if number < self.fronts {
+            self.link(Ends::Door { process: number }).set_up(true);
+        }
+        self.note(number, Lived::Up);
+        Ok(())
+    }
+
+    /// Signals a proxy.
+    pub fn signal(&self, number: usize, sign: Sign) -> Result<(), NoDrill> {
+        let process = &self.processes[number];
+        match sign {
+            Sign::Kill => {
+                self.note(number, Lived::Killed);
+                process.up.set(false);
+                if number < self.fronts {
+                    self.link(Ends::Door { process: number }).set_up(false);
+                }
+            }
+            Sign::Term => self.note(number, Lived::Asked),
+            Sign::Stop => self.note(number, Lived::Stopped),
+            Sign::Go => self.note(number, Lived::Went),
+            Sign::Reload => {}
+        }
+        self.keeper.borrow_mut().signal(number, sign).map_err(system("the keeper"))
+    }
+
+    fn heard(&self, news: News) {
+        match news {
+            News::Started { .. } => {}
+            News::Failed { number, why } => {
+                eprintln!("{}: {why}", self.processes[number].name);
+                self.processes[number].runs.set(false);
+            }
+            News::Ended { number, code, .. } => {
+                let process = &self.processes[number];
+                process.runs.set(false);
+                process.up.set(false);
+                if number < self.fronts {
+                    self.link(Ends::Door { process: number }).set_up(false);
+                }
+                self.note(number, Lived::Ended(code));
+            }
+        }
+    }
+}
+
+async fn hear(fleet: std::rc::Weak<Fleet>, mut news: mpsc::UnboundedReceiver<News>) {
+    while let Some(news) = news.recv().await {
+        match fleet.upgrade() {
+            Some(fleet) => fleet.heard(news),
+            None => return,
+        }
+    }
+}
+
+/// Whether somebody at an address answers `GET /up` with 200.
+pub(crate) async fn says_up(address: SocketAddr) -> bool {
+    use tokio::io::AsyncWriteExt;
+    let asked = async {
+        let mut wire = crate::http::Wire::new(tokio::net::TcpStream::connect(address).await?);
+        wire.stream.write_all(b"GET /up HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n").await?;
+        wire.message(false).await
+    };
+    matches!(timeout(Duration::from_secs(1), asked).await, Ok(Ok(Some(m))) if m.status == 200)
+}
+
+fn servers(
+    figures: &Figures,
+    sketches: &[Sketch],
+    history: &Rc<History>,
+    (callers, who): (&Callers, &WhoCalls),
+) -> IoResult<Vec<Rc<Server>>> {
+    let classes: Vec<(String, bool, bool)> = (figures.classes.iter())
+        .map(|c| (c.name.clone(), c.repeats == Repeats::Safe, c.repeats == Repeats::Keyed))
+        .collect();
+    let tenants: Vec<String> = figures.tenants.iter().map(|t| t.name.clone()).collect();
+    let mut all = Vec::new();
+    for (tier, of) in figures.tiers.iter().enumerate() {
+        for (n, place) in of.places.iter().enumerate() {
+            let own = sketches.iter().position(|s| s.tier == tier + 1 && s.rank == n);
+            let below = own.map(|process| {
+                Below::new(process, sketches[process].port.address(), classes.clone(), tenants.clone())
+            });
+            let figures = ServerFigures {
+                number: all.len(),
+                zone: place.zone,
+                kind: hillstall_lab::model::machine::Kind { speed: place.speed, ..of.kind },
+                part: of.part,
+                calls: of.calls,
+            };
+            let who = (callers.clone(), who.clone());
+            all.push(Server::new(figures, history.clone(), who, below)?);
+        }
+    }
+    Ok(all)
+}
--- /dev/null
+++ b/crates/drill/src/list.rs
@@ -0,0 +1,227 @@
+//! The service that lists the servers of a tier, with its failures: late, down, cut short, and a line that handles one
+//! call after another.
+
+use crate::http::Wire;
+use crate::link::Callers;
+use crate::record::{History, Status, Told};
+use crate::server::WhoCalls;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch, Mutex};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+const HEARTBEAT: Duration = Duration::from_secs(2);
+
+/// A server of the list.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Its number over all tiers.
+    pub server: usize,
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: usize,
+    /// What the list says of it.
+    pub status: Status,
+    /// When it started last, as Unix time in milliseconds; 0 for long ago.
+    pub since_ms: f64,
+}
+
+/// Where a proxy reaches a server.
+pub type Places = Rc<dyn Fn(usize, usize) -> SocketAddr>;
+
+/// A version, and what changed with it.
+type News = (u64, Vec<Entry>);
+
+/// The list of a tier.
+pub struct Roster {
+    history: Rc<History>,
+    callers: Callers,
+    who: WhoCalls,
+    places: Places,
+    entries: RefCell<Vec<Entry>>,
+    index: Cell<u64>,
+    watchers: RefCell<Vec<mpsc::UnboundedSender<News>>>,
+    down: watch::Sender<bool>,
+    missed: RefCell<Vec<Entry>>,
+    /// What handling one call takes.
+    pace: Cell<Duration>,
+    line: Mutex<()>,
+    /// Ends each watch in the midst of its next line.
+    cut_short: Cell<bool>,
+}
+
+/// Unix time in milliseconds.
+pub fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |passed| passed.as_secs_f64() * 1e3)
+}
+
+fn status(of: Status) -> &'static str {
+    match of {
+        Status::Ready => "ready",
+        Status::Draining => "draining",
+        Status::Gone => "gone",
+    }
+}
+
+impl Roster {
+    /// A list; [`Roster::serve`] answers for it.
+    pub fn new(
+        history: Rc<History>,
+        (callers, who): (Callers, WhoCalls),
+        places: Places,
+        entries: Vec<Entry>,
+    ) -> Rc<Roster> {
+        Rc::new(Roster {
+            history,
+            callers,
+            who,
+            places,
+            entries: RefCell::new(entries),
+            index: Cell::new(1),
+            watchers: RefCell::default(),
+            down: watch::Sender::new(false),
+            missed: RefCell::default(),
+            pace: Cell::new(Duration::ZERO),
+            line: Mutex::new(()),
+            cut_short: Cell::new(false),
+        })
+    }
+
+    /// A list as a proxy sees it.
+    fn text(&self, process: usize, index: u64, snapshot: bool, entries: &[Entry]) -> Value {
+        let one = |e: &Entry| {
+            json!({"name": e.name, "address": (self.places)(process, e.server),
+                "zone": format!("zone-{}", e.zone), "type": "machine", "group": 0,
+                "status": status(e.status), "weight": 1.0, "since_ms": e.since_ms})
+        };
+        let listed = entries.iter().filter(|e| !snapshot || e.status != Status::Gone);
+        json!({"index": index, "snapshot": snapshot, "endpoints": listed.map(one).collect::<Vec<_>>()})
+    }
+
+    /// The whole list as a proxy would be told it now.
+    pub fn known(&self, process: usize) -> Value {
+        self.text(process, self.index.get(), true, &self.entries.borrow())
+    }
+
+    /// Says something new of a server. While the service is down, this waits until it is back.
+    pub fn change(&self, server: usize, status: Status, since_ms: Option<f64>) {
+        let Some(mut entry) = self.entries.borrow().iter().find(|e| e.server == server).cloned() else {
+            return;
+        };
+        entry.status = status;
+        entry.since_ms = since_ms.unwrap_or(entry.since_ms);
+        match *self.down.borrow() {
+            true => self.missed.borrow_mut().push(entry),
+            false => self.apply(entry),
+        }
+    }
+
+    fn apply(&self, entry: Entry) {
+        if let Some(old) = self.entries.borrow_mut().iter_mut().find(|e| e.server == entry.server) {
+            *old = entry.clone();
+        }
+        self.index.set(self.index.get() + 1);
+        let news = (self.index.get(), vec![entry]);
+        self.watchers.borrow_mut().retain(|watcher| watcher.send(news.clone()).is_ok());
+    }
+
+    /// Goes down, which ends all watches, or comes back.
+    pub fn set_down(&self, down: bool) {
+        self.watchers.borrow_mut().clear();
+        self.down.send_replace(down);
+        if !down {
+            let missed = std::mem::take(&mut *self.missed.borrow_mut());
+            missed.into_iter().for_each(|entry| self.apply(entry));
+        }
+    }
+
+    /// Takes so long for each call, one after another.
+    pub fn set_pace(&self, pace: Duration) {
+        self.pace.set(pace);
+    }
+
+    /// Ends each watch in the midst of its next line.
+    pub fn cut_short(&self) {
+        self.cut_short.set(true);
+    }
+
+    /// Answers.
+    pub async fn serve(self: Rc<Roster>, listener: TcpListener) {
+        while let Ok((stream, peer)) = listener.accept().await {
+            let roster = self.clone();
+            spawn_local(async move {
+                let mut down = roster.down.subscribe();
+                let mut wire = Wire::new(stream);
+                let went_down = async {
+                    // Going down ends what is open; a call to a service that is down is answered.
+                    while down.changed().await.is_ok() && !*down.borrow() {}
+                };
+                tokio::select! {
+                    () = went_down => crate::link::abort(&wire.stream),
+                    _ = roster.connection(&mut wire, peer) => {}
+                }
+            });
+        }
+    }
+
+    async fn connection(&self, wire: &mut Wire, peer: SocketAddr) -> std::io::Result<()> {
+        let Some(message) = wire.message(true).await? else { return Ok(()) };
+        self.history.note(|seen| seen.list_calls += 1);
+        let Some(link) = self.callers.borrow().get(&peer).copied() else { return Ok(()) };
+        let who = (self.who)(link);
+        {
+            let _turn = self.line.lock().await;
+            sleep(self.pace.get()).await;
+        }
+        if *self.down.borrow() {
+            return wire.answer("503 Service Unavailable", "Connection: close\r\n", "").await;
+        }
+        let (index, entries) = (self.index.get(), self.entries.borrow().clone());
+        let whole = self.text(who.0, index, true, &entries);
+        if !message.target.contains("stream=1") {
+            wire.answer("200 OK", "Connection: close\r\n", &whole.to_string()).await?;
+            self.told(who, &entries);
+            return Ok(());
+        }
+        let (tell, mut news) = mpsc::unbounded_channel();
+        self.watchers.borrow_mut().push(tell);
+        let stream = &mut wire.stream;
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+        chunk(stream, &whole.to_string()).await?;
+        self.told(who, &entries);
+        loop {
+            match timeout(HEARTBEAT, news.recv()).await {
+                Err(_) => chunk(stream, "").await?,
+                Ok(None) => return Ok(()),
+                Ok(Some((index, entries))) => {
+                    let line = self.text(who.0, index, false, &entries).to_string();
+                    if self.cut_short.get() {
+                        let half = &line[..line.len() / 2];
+                        return stream.write_all(format!("{:x}\r\n{half}", line.len() + 1).as_bytes()).await;
+                    }
+                    chunk(stream, &line).await?;
+                    self.told(who, &entries);
+                }
+            }
+        }
+    }
+
+    fn told(&self, (process, life): (usize, u32), entries: &[Entry]) {
+        let at = self.history.now();
+        self.history.note(|seen| {
+            let told = |e: &Entry| Told { process, life, server: e.server, status: e.status, at };
+            seen.told.extend(entries.iter().map(told));
+        });
+    }
+}
+
+async fn chunk(stream: &mut TcpStream, line: &str) -> std::io::Result<()> {
+    stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).await
+}
--- /dev/null
+++ b/crates/drill/src/platform.rs
@@ -0,0 +1,100 @@
+//! The file that the platform gives a proxy, made from the module's settings.
+
+use hillstall_module::api::{Effect, Scope, Settings};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+
+/// The settings as the platform writes them: what is read back from them is what was given.
+pub fn settings(of: &Settings) -> Value {
+    let class = |c: &hillstall_module::api::Class| {
+        let effect = match c.effect {
+            Effect::Repeatable => "repeatable",
+            Effect::Keyed => "by_key",
+            Effect::Once => "once",
+        };
+        let scope = match c.scope {
+            Scope::All => "all",
+            Scope::Zone => "zone",
+            Scope::Cell => "cell",
+        };
+        json!({"Name": c.name, "Aim": c.aim_ms, "AimStretch": c.aim_stretch, "HardLimit": c.deadline_ms,
+            "Effect": effect, "KeyScope": scope, "Window": c.window_ms, "LateWorth": c.late_worth,
+            "Points": c.worth, "Streaming": c.streaming})
+    };
+    let tenant = |t: &hillstall_module::api::Tenant| json!({"Name": t.name, "AllowancePerS": t.allowance_per_s, "Fraction": t.fraction});
+    let (rules, allowed, prices, mix) = (&of.rules, &of.allowed, &of.prices, &of.objective);
+    json!({
+        "Rank": of.rank, "FleetSize": of.fleet_size, "Az": of.zone, "Zones": of.zones, "Stage": of.stage,
+        "Stages": of.stages, "MachineTypes": of.machine_kinds, "KindOfService": of.service,
+        "FamilyInfo": {"PassesDeadline": of.passes_deadline, "WarmKeys": of.warm_keys},
+        "MembershipMode": if of.must_subscribe { "subscribe" } else { "automatic" },
+        "WorthBy": if of.worth_by_work { "work" } else { "request" },
+        "OverShareWorth": of.over_share_worth, "Tick": of.tick_ms,
+        "Clients": {"MarksRetry": of.marks_retry},
+        "Classes": of.classes.iter().map(class).collect::<Vec<_>>(),
+        "Tenants": of.tenants.iter().map(tenant).collect::<Vec<_>>(),
+        "Rules": {"GraceToAnswer": rules.answer_grace_ms, "DrainGrace": rules.drain_grace_ms,
+            "AskWithin": rules.ask_within_ms, "ColdFrom": rules.cold_from, "Cold": rules.cold_ms,
+            "FallMultiple": rules.fall_multiple, "Fall": rules.fall_ms},
+        "Allowed": {"Cancelling": allowed.cancel, "Probing": allowed.probe, "ParallelTries": allowed.parallel,
+            "Peers": allowed.peers, "RetryAfter": allowed.retry_after,
+            "MaxRetryAfter": allowed.max_retry_after_ms, "MaxAttempts": allowed.max_attempts,
+            "OpenCap": allowed.max_open, "IdleClose": allowed.idle_close_ms,
+            "ConnectTimeout": allowed.connect_timeout_ms, "StreamsPerConn": allowed.streams_per_connection,
+            "CpuUsPerS": allowed.cpu_us_per_s, "CpuUsPerRequest": allowed.cpu_us_per_request},
+        "Prices": {"CrossZone": prices.cross_zone, "Waste": prices.waste, "LateFail": prices.late_fail,
+            "Probe": prices.probe, "Connection": prices.connection, "Handshake": prices.handshake,
+            "MembershipMode": prices.list_lines, "Fleet": prices.fleet, "Moves": prices.moves,
+            "Origin": prices.origin, "Peer": prices.peer},
+        "ObjectiveMix": {"Whole": mix.whole, "WorstClass": mix.worst_class, "WorstTenant": mix.worst_tenant,
+            "WorstWindow": mix.worst_window, "Nines": mix.nines, "FullAtNines": mix.full_at_nines},
+    })
+}
+
+/// What a proxy of a fleet is told at its start.
+pub struct Told<'a> {
+    /// Its name, the same after a restart.
+    pub name: &'a str,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Discovery, as it sees it.
+    pub discovery: SocketAddr,
+    /// For its random numbers.
+    pub seed: u64,
+    /// The list as it had it last.
+    pub known: Value,
+    /// The module's settings.
+    pub settings: &'a Settings,
+}
+
+/// The file.
+pub fn file(told: &Told<'_>) -> Value {
+    json!({
+        "name": told.name, "listen": told.listen, "discovery": told.discovery,
+        "seed": format!("{:016x}", told.seed),
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512},
+        "known": told.known, "settings": settings(told.settings),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use hillstall_lab::scenarios;
+    use hillstall_lab::sim::setup;
+
+    #[test]
+    fn what_is_read_back_is_what_was_given() {
+        for name in scenarios::names() {
+            let figures = setup::draw(&scenarios::find(name).expect("embedded"), 3);
+            for tier in 0..figures.tiers.len() {
+                let given = figures.settings(tier, 1, 4, 0);
+                let text = super::settings(&given).to_string();
+                assert_eq!(
+                    hillstall_settings::settings(text.as_bytes()).as_ref(),
+                    Ok(&given),
+                    "{name} {tier}"
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/port.rs
@@ -0,0 +1,68 @@
+//! A port of the system's choice that stays ours whether anybody listens on it or not: a socket that is bound and never
+//! listens keeps it. So a server can die and come back at its address, and nobody else gets the port meanwhile.
+
+use socket2::{Domain, Protocol, SockAddr, Socket, Type};
+use std::io::Result;
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use tokio::net::TcpListener;
+
+const BACKLOG: i32 = 1_024;
+
+/// A port that is kept.
+pub struct Port {
+    address: SocketAddr,
+    _holder: Socket,
+}
+
+/// A listener that takes no connection: its line is full, so whoever connects hears nothing and tries for ever.
+pub struct Deaf {
+    _listener: Socket,
+    _filler: Vec<TcpStream>,
+}
+
+fn bound(address: SocketAddr) -> Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SockAddr::from(address))?;
+    Ok(socket)
+}
+
+impl Port {
+    /// A free port of the loopback address.
+    pub fn take() -> Result<Port> {
+        let holder = bound((Ipv4Addr::LOCALHOST, 0).into())?;
+        let address = holder.local_addr()?.as_socket();
+        let address = address.ok_or_else(|| std::io::Error::other("a TCP socket without an address"))?;
+        Ok(Port { address, _holder: holder })
+    }
+
+    /// Where it is. Connections are refused while nobody listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Listens.
+    pub fn listen(&self) -> Result<TcpListener> {
+        let socket = bound(self.address)?;
+        socket.listen(BACKLOG)?;
+        TcpListener::from_std(socket.into())
+    }
+
+    /// Listens and takes nobody: what a machine that was cut off looks like.
+    pub fn deaf(&self) -> Result<Deaf> {
+        let socket = bound(self.address)?;
+        socket.listen(0)?;
+        let mut filler = Vec::new();
+        // A line for none has room for one.
+        for _ in 0..2 {
+            let one = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+            one.set_nonblocking(true)?;
+            // In progress is all that can be said of it.
+            let _ = one.connect(&SockAddr::from(self.address));
+            filler.push(one.into());
+        }
+        Ok(Deaf { _listener: socket, _filler: filler })
+    }
+}
--- /dev/null
+++ b/crates/drill/src/run.rs
@@ -0,0 +1,142 @@
+//! One drill from its start to its verdict.
+
+use crate::clients::Clients;
+use crate::faults::Faults;
+use crate::fleet::{system, Fleet, Lie, NoDrill, Plan};
+use crate::record::Seen;
+use crate::referee::{self, Truth, Verdict};
+use hillstall_lab::scenario::Scenario;
+use hillstall_lab::sim::setup;
+use hillstall_lab::sim::Tally;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, sleep_until};
+
+/// Between the start of the last process and the first call.
+const SETTLE: Duration = Duration::from_millis(300);
+/// How often the machines' state is written down.
+const LOOK: Duration = Duration::from_millis(100);
+/// Longer than any call can still be open after the last has set out: past it, something hangs.
+const END_WITHIN: Duration = Duration::from_secs(30);
+
+/// What a test or an operator does during a drill, beside the scenario's own failures.
+pub type Script = Box<dyn FnOnce(Rc<Fleet>) -> std::pin::Pin<Box<dyn std::future::Future<Output = ()>>>>;
+
+/// How to play it.
+#[derive(Default)]
+pub struct Options {
+    /// What the proxies are told wrongly, if anything.
+    pub lie: Option<Lie>,
+    /// Runs beside the calls, from the first one on.
+    pub script: Option<Script>,
+    /// Where configurations and logs go, and stay; else they go with the drill.
+    pub keep: Option<PathBuf>,
+}
+
+/// A drill that was played.
+pub struct Drilled {
+    /// What clients got, by the same count as in simulated time.
+    pub tally: Tally,
+    /// All that was seen.
+    pub seen: Seen,
+    /// The fleet as it truly is.
+    pub truth: Truth,
+    /// The referee's word.
+    pub verdict: Verdict,
+    /// Processes of the program that ran at the same time.
+    pub processes: usize,
+}
+
+impl Drilled {
+    /// The verdict for people.
+    pub fn told(&self) -> String {
+        referee::tell(&self.truth, &self.seen, &self.verdict)
+    }
+
+    /// Attempts at a tier for each try that was made at the proxies before it.
+    pub fn attempts_a_try(&self, tier: usize) -> f64 {
+        let hops = self.seen.hops.iter().filter(|h| self.truth.servers[h.server].tier == tier).count();
+        let dots = |id: &str| id.matches('.').count();
+        let tries = self.seen.tries.iter().filter(|t| t.written_at.is_some() && dots(&t.id) == tier).count();
+        hops as f64 / tries.max(1) as f64
+    }
+}
+
+/// Plays a scenario with a seed on real processes of `program`.
+pub fn run(program: &Path, scenario: &Scenario, seed: u64, options: Options) -> Result<Drilled, NoDrill> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(system("the rig"))?;
+    // Goes with its files once this function ends.
+    let passing = tempfile::tempdir().map_err(system("a folder"))?;
+    let path = options.keep.clone().unwrap_or_else(|| passing.path().to_path_buf());
+    LocalSet::new().block_on(&runtime, play(program, scenario, seed, options, &path))
+}
+
+async fn play(
+    program: &Path,
+    scenario: &Scenario,
+    seed: u64,
+    options: Options,
+    folder: &Path,
+) -> Result<Drilled, NoDrill> {
+    let figures = setup::draw(scenario, seed);
+    let fleet = Fleet::start(Plan { program, figures, seed, lie: options.lie, folder }).await?;
+    let zero = Instant::now() + SETTLE;
+    fleet.history.begin(zero);
+    sleep_until(zero.into()).await;
+    let faults = Faults::new(fleet.clone());
+    faults.play();
+    let script = options.script.map(|script| spawn_local(script(fleet.clone())));
+    let watch = spawn_local(watch(fleet.clone()));
+    let clients = Clients::new(fleet.clone(), seed);
+    clients.play(seed).await;
+    let end = Instant::now() + END_WITHIN;
+    while clients.open() > 0 {
+        if Instant::now() > end {
+            let why = std::io::Error::other(format!("{} calls have not ended", clients.open()));
+            return Err(NoDrill::System { what: "the clients".into(), why });
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    // The last answers of tries that were given up are still watched for.
+    sleep(SETTLE).await;
+    watch.abort();
+    if let Some(script) = script {
+        script.abort();
+    }
+    if let Some(wrong) = faults.wrong().into_iter().next() {
+        return Err(NoDrill::System { what: "a fault".into(), why: std::io::Error::other(wrong) });
+    }
+    let truth = fleet.truth();
+    let seen = fleet.history.take();
+    let chokes = fleet.servers.iter().map(|server| u64::from(server.chokes())).sum();
+    let empty = Tally::new("drill", seed, 1.0, fleet.figures.shares());
+    let mut tally = fleet.tally.replace(empty);
+    for hop in &seen.hops {
+        tally.sent(hop.at, truth.servers[hop.server].tier);
+    }
+    for a_try in seen.tries.iter().filter(|t| t.process < fleet.fronts && t.written_at.is_some()) {
+        tally.came_to(a_try.process);
+        if a_try.ended == crate::record::Ended::Refused {
+            tally.refused_by(a_try.process);
+        }
+    }
+    let verdict = referee::judge(&truth, &seen);
+    let processes = fleet.processes.len();
+    Ok(Drilled { tally: tally.close(chokes), seen, truth, verdict, processes })
+}
+
+/// Writes down from time to time what the first tier can do.
+async fn watch(fleet: Rc<Fleet>) {
+    let whole = fleet.figures.tiers[0].able();
+    let first = fleet.figures.tiers[0].places.len();
+    loop {
+        sleep(LOOK).await;
+        let states: Vec<(f64, bool)> = fleet.servers[..first].iter().map(|s| s.state()).collect();
+        let able: f64 = states.iter().map(|s| s.0).sum();
+        let choked = states.iter().filter(|s| s.1).count() as u64;
+        fleet.tally.borrow_mut().looked(fleet.history.now().max(0.0), able / whole, choked);
+    }
+}
--- /dev/null
+++ b/crates/drill/src/udp.rs
@@ -0,0 +1,102 @@
+//! A link for datagrams: what one address sends to the relay goes to the other, and back, through the same faults. A
+//! datagram that is held is lost. A reset or a refusal means nothing to datagrams: they are lost too.
+
+use crate::link::Fault;
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::cell::{Cell, RefCell};
+use std::io::Result;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// The largest datagram.
+const LONGEST: usize = 65_535;
+
+/// A relay of datagrams between two addresses.
+pub struct UdpLink {
+    /// Where each side sends to reach the other.
+    sockets: [Rc<UdpSocket>; 2],
+    ends: [SocketAddr; 2],
+    fault: Cell<Fault>,
+    loss: Cell<f64>,
+    rng: RefCell<Xoshiro256PlusPlus>,
+    passed: Cell<[u64; 2]>,
+}
+
+impl UdpLink {
+    /// Starts a relay between two addresses; the seed decides which datagrams are lost.
+    pub async fn start(ends: [SocketAddr; 2], seed: u64) -> Result<Rc<UdpLink>> {
+        let any = (Ipv4Addr::LOCALHOST, 0);
+        let sockets = [Rc::new(UdpSocket::bind(any).await?), Rc::new(UdpSocket::bind(any).await?)];
+        let link = Rc::new(UdpLink {
+            sockets,
+            ends,
+            fault: Cell::default(),
+            loss: Cell::new(0.0),
+            rng: RefCell::new(Xoshiro256PlusPlus::seed_from_u64(seed)),
+            passed: Cell::default(),
+        });
+        for side in [0, 1] {
+            spawn_local(link.clone().serve(side));
+        }
+        Ok(link)
+    }
+
+    /// Where the first (0) or the second (1) end sends to reach the other.
+    pub fn address(&self, end: usize) -> Result<SocketAddr> {
+        self.sockets[end].local_addr()
+    }
+
+    /// Sets what is wrong with it; forth is from the first end to the second.
+    pub fn set(&self, fault: Fault) {
+        self.fault.set(fault);
+    }
+
+    /// Loses this part of the datagrams beside what the fault does.
+    pub fn lose(&self, part: f64) {
+        self.loss.set(part);
+    }
+
+    /// Datagrams passed on: forth and back.
+    pub fn passed(&self) -> [u64; 2] {
+        self.passed.get()
+    }
+
+    fn loses(&self, forth: bool) -> bool {
+        let by_chance = (self.rng.borrow_mut().next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+        by_chance < self.loss.get()
+            || match self.fault.get() {
+                Fault::Silent | Fault::Reset | Fault::Refuse => true,
+                Fault::LoseForth => forth,
+                Fault::LoseBack => !forth,
+                Fault::None | Fault::Delay(_) | Fault::Slow(_) => false,
+            }
+    }
+
+    async fn serve(self: Rc<UdpLink>, side: usize) {
+        let mut buffer = vec![0; LONGEST];
+        loop {
+            // An error tells of an earlier datagram that nobody took: nothing to do about it.
+            let Ok((length, from)) = self.sockets[side].recv_from(&mut buffer).await else { continue };
+            // Only the two ends talk over it.
+            if from != self.ends[side] || self.loses(side == 0) {
+                continue;
+            }
+            let (datagram, link) = (buffer[..length].to_vec(), self.clone());
+            spawn_local(async move {
+                if let Fault::Delay(by) = link.fault.get() {
+                    sleep(by).await;
+                }
+                let other = 1 - side;
+                if link.sockets[other].send_to(&datagram, link.ends[other]).await.is_ok() {
+                    let mut passed = link.passed.get();
+                    passed[side] += 1;
+                    link.passed.set(passed);
+                }
+            });
+        }
+    }
+}
--- a/crates/hillstall/src/lab.rs
+++ b/crates/hillstall/src/lab.rs
@@ -1,6 +1,7 @@
 //! `hillstall lab`: experiments in simulated time.
 
 use crate::commands::print;
+use crate::drill;
 use crate::say;
 use clap::{Args, Subcommand};
 use hillstall_lab::calls::Fleet;
@@ -79,6 +80,30 @@
         /// A folder in which each file is the log of one proxy, written with log.calls and as JSON
         folder: PathBuf,
     },
+    /// Play a scenario on a fleet of real processes on this machine, and judge it by the rules
+    Drill {
+        /// A file, or a scenario that comes with the program
+        #[arg(default_value = "drill-cut")]
+        scenario: String,
+        /// The first seed, and how many from there on
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds, one after another
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1_000))]
+        seeds: u64,
+        /// Keep configurations and logs of the processes here
+        #[arg(long, value_name = "FOLDER")]
+        keep: Option<PathBuf>,
+        /// Play the same in simulated time too, and hold them against each other
+        #[arg(long)]
+        beside_lab: bool,
+        /// Write each drill's tally as a JSON line
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
+    /// Own the processes of a drill; for the drill alone
+    #[command(hide = true)]
+    Keeper,
     /// Draw the page of results kept with --json
     Report {
         /// JSON lines
@@ -158,6 +183,15 @@
             }
             show("days of the bench", tallies, &how)
         }
+        Lab::Drill { scenario, seed, seeds, keep, beside_lab, json } => {
+            let (name, scenario) = parse(&scenario)?;
+            let seeds: Vec<u64> = (seed..seed.saturating_add(seeds)).collect();
+            drill::run(&name, &scenario, &seeds, &drill::Wishes { keep, beside_lab, json })
+        }
+        Lab::Keeper => {
+            hillstall_drill::keeper::serve();
+            Ok(())
+        }
         Lab::Report { results, page } => {
             let text = std::fs::read_to_string(&results).map_err(|e| at(&results, &e))?;
             let mut tallies: Vec<Tally> = Vec::new();
@@ -170,7 +204,7 @@
     }
 }
 
-fn at(path: &Path, why: &dyn std::fmt::Display) -> String {
+pub(crate) fn at(path: &Path, why: &dyn std::fmt::Display) -> String {
     format!("{}: {why}", path.display())
 }
 
--- a/crates/hillstall/src/main.rs
+++ b/crates/hillstall/src/main.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod config;
 mod demo;
+mod drill;
 mod handover;
 mod lab;
 mod logs;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -318,6 +318,20 @@
     }
 }
 
+/// The layer that shares clients' connections out over the proxies.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Front {
+    /// Until it knows that a proxy is gone.
+    pub notice: Span,
+}
+
+impl Default for Front {
+    fn default() -> Front {
+        Front { notice: Span::ms(0.0) }
+    }
+}
+
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -336,6 +350,48 @@
     Release,
     /// The list of servers tells nothing new.
     DiscoveryDown,
+    /// A part of the proxies before the first tier are killed at once, and start again with nothing learned.
+    KillProxies,
+    /// A part of them stand still, and then go on with what they knew.
+    StopProxies,
+    /// A part of them are restarted one after another, in order.
+    RollProxies,
+    /// A part of them read their files again.
+    ReloadProxies,
+    /// Links are no longer what they were; see [`Failure::link`] and [`Failure::mode`].
+    Cut,
+}
+
+/// Which links a cut is about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Between {
+    /// Those of a tier's proxies to its machines.
+    #[default]
+    ProxyServer,
+    /// Those of clients to the proxies before the first tier.
+    ClientFront,
+    /// Those of a tier's proxies to the list of servers.
+    ProxyDiscovery,
+}
+
+/// What a cut does to a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mode {
+    /// Nothing passes, and nobody says so.
+    #[default]
+    Silent,
+    /// What the calling side sends is lost.
+    LoseForth,
+    /// What comes back is lost.
+    LoseBack,
+    /// Connections are reset.
+    Reset,
+    /// New connections are refused.
+    Refuse,
+    /// All comes later by `delay`, each way.
+    Delay,
 }
 
 /// A failure at a time.
@@ -361,6 +417,19 @@
     /// How many times slower, or how many times the load.
     #[serde(default = "one")]
     pub times: Number,
+    /// Of a cut: which links; those of `part` of the proxies ...
+    #[serde(default)]
+    pub link: Between,
+    /// ... in this zone alone, if it is given, ...
+    pub from_zone: Option<usize>,
+    /// ... to the machines of this zone alone, if it is given.
+    pub to_zone: Option<usize>,
+    /// Of a cut: what it does.
+    #[serde(default)]
+    pub mode: Mode,
+    /// Of a cut that delays: by how much.
+    #[serde(default = "warm")]
+    pub delay: Span,
 }
 
 /// A tenant: who calls, and how much of the service is its own.
@@ -428,6 +497,9 @@
     /// The list.
     #[serde(default)]
     pub discovery: Discovery,
+    /// The layer before the proxies.
+    #[serde(default)]
+    pub front: Front,
     /// What goes wrong.
     #[serde(rename = "failure", default)]
     pub failures: Vec<Failure>,
@@ -479,6 +551,9 @@
             if failure.tier >= self.tiers.len() {
                 return wrong(format!("failure[{i}].tier"), "there is no such tier");
             }
+            if [failure.from_zone, failure.to_zone].into_iter().flatten().any(|zone| zone >= self.zones) {
+                return wrong(format!("failure[{i}].from_zone"), "there is no such zone, or to_zone's");
+            }
             if failure.zone >= self.zones {
                 return wrong(format!("failure[{i}].zone"), "there is no such zone");
             }
--- a/crates/lab/src/scenarios.rs
+++ b/crates/lab/src/scenarios.rs
@@ -2,9 +2,10 @@
 
 use crate::scenario::{Invalid, Scenario};
 
-const ALL: [(&str, &str); 3] = [
+const ALL: [(&str, &str); 4] = [
     ("lose-hall", include_str!("../scenarios/lose-hall.toml")),
     ("hot-copies", include_str!("../scenarios/hot-copies.toml")),
+    ("drill-cut", include_str!("../scenarios/drill-cut.toml")),
     ("one-hangs", include_str!("../scenarios/one-hangs.toml")),
 ];
 
--- /dev/null
+++ b/crates/lab/src/sim/arrivals.rs
@@ -0,0 +1,100 @@
+//! The calls of a run: a Poisson process whose rate changes, drawn at its highest rate and thinned. It is a stream of
+//! its own, so that one seed gives the same calls whatever the proxies do, in simulated time and on sockets alike.
+
+use super::setup::{chance, FailureOf, Figures, Stream};
+use crate::chance::part;
+use crate::model::work;
+use crate::scenario::What;
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+/// A call that a client means to make.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// When (ms from the start).
+    pub at: f64,
+    /// Its class.
+    pub class: usize,
+    /// Whose it is.
+    pub tenant: usize,
+    /// The zone of its client.
+    pub zone: usize,
+    /// Its work over all tiers, in core milliseconds.
+    pub work: f64,
+    /// What it is worth: heavier calls of a class are worth more.
+    pub worth: f64,
+}
+
+/// Which of some parts a number from 0 to 1 falls on.
+pub fn drawn(number: f64, parts: impl Iterator<Item = f64> + Clone) -> usize {
+    let mut left = number * parts.clone().sum::<f64>();
+    let mut last = 0;
+    for (i, part) in parts.enumerate() {
+        last = i;
+        left -= part;
+        if left < 0.0 {
+            break;
+        }
+    }
+    last
+}
+
+/// The calls of one run, in order.
+pub struct Arrivals {
+    figures: Figures,
+    rng: Xoshiro256PlusPlus,
+    at: f64,
+}
+
+impl Arrivals {
+    /// Those of a seed.
+    pub fn new(figures: &Figures, seed: u64) -> Arrivals {
+        Arrivals { figures: figures.clone(), rng: chance(seed, Stream::Arrivals), at: 0.0 }
+    }
+
+    /// How many times the usual load bursts make it at a moment.
+    fn burst(&self, now: f64) -> f64 {
+        let bursts = |f: &&FailureOf| f.what == What::Burst && f.at <= now && now < f.at + f.lasts;
+        self.figures.failures.iter().rfind(bursts).map_or(1.0, |f| f.times)
+    }
+
+    fn call(&mut self) -> Option<Arrival> {
+        let (now, of) = (self.at, &self.figures);
+        let turn = now / of.period * std::f64::consts::TAU;
+        let rate = of.rate * (1.0 + of.swing * turn.sin()) * of.factor(now) * self.burst(now) / 1e3;
+        // Drawn in any case, so that the stream is the same for all bursts.
+        let [keep, class, zone, tenant] = [(); 4].map(|()| part(&mut self.rng));
+        // Shapes take different counts of draws, so each call's work has a stream of its own.
+        let mut size = Xoshiro256PlusPlus::seed_from_u64(self.rng.next_u64());
+        if keep * of.most_rate() >= rate {
+            return None;
+        }
+        let class = drawn(class, of.classes.iter().map(|c| c.share));
+        let tenant = drawn(tenant, of.tenants.iter().map(|t| t.traffic));
+        let zone = drawn(zone, of.zone_share.iter().copied());
+        let of = &of.classes[class];
+        let work = work::draw(of.shape, of.work, of.cv, &mut size);
+        Some(Arrival { at: now, class, tenant, zone, work, worth: of.worth * work / of.work.max(1e-9) })
+    }
+}
+
+impl Iterator for Arrivals {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        let most = self.figures.most_rate();
+        // A rate of nothing has no gaps to draw.
+        if most <= 0.0 {
+            return None;
+        }
+        loop {
+            self.at += -(1.0 - part(&mut self.rng)).ln() / most;
+            if self.at > self.figures.length {
+                return None;
+            }
+            if let Some(call) = self.call() {
+                return Some(call);
+            }
+        }
+    }
+}
--- a/crates/lab/src/sim/attempts.rs
+++ b/crates/lab/src/sim/attempts.rs
@@ -1,5 +1,6 @@
 //! Requests at proxies, their attempts, and the machines that these reach.
 
+use super::cuts::Way;
 use super::queue::{End, Happening};
 use super::setup::CONNECT_TIMEOUT;
 use super::{Ask, Attempt, Caller, World};
@@ -96,7 +97,21 @@
         a.out = Some(attempt);
         let end = if timeout > 0.0 { (self.now + timeout).min(a.give_up_at) } else { a.give_up_at };
         let way = self.way(proxy, machine);
-        self.queue.put(self.now + way, Happening::Reach { attempt });
+        match self.way_to(proxy, machine) {
+            Way::Open(more) => self.queue.put(self.now + way + more, Happening::Reach { attempt }),
+            Way::Held(_) => {
+                let outcome = Outcome::ConnectFailed;
+                self.queue.put(self.now + CONNECT_TIMEOUT, Happening::Back { attempt, outcome });
+            }
+            Way::Refused => {
+                let outcome = Outcome::ConnectFailed;
+                self.queue.put(self.now + 2.0 * way, Happening::Back { attempt, outcome });
+            }
+            Way::Broken => {
+                let outcome = Outcome::Reset;
+                self.queue.put(self.now + 2.0 * way, Happening::Back { attempt, outcome });
+            }
+        }
         self.queue.put(end, Happening::TimeUp { attempt });
     }
 
@@ -174,9 +189,19 @@
         }
         let now = self.now;
         self.hosts[machine].machine.release(now, &mut self.done);
-        let way = self.way(self.asks[self.attempts[attempt].ask].proxy, machine);
+        let proxy = self.asks[self.attempts[attempt].ask].proxy;
+        let way = self.way(proxy, machine);
         if !self.hosts[machine].lost {
-            self.queue.put(now + way, Happening::Back { attempt, outcome });
+            match self.way_to(proxy, machine) {
+                Way::Open(more) => self.queue.put(now + way + more, Happening::Back { attempt, outcome }),
+                // What is held is sent again, and comes once it can.
+                Way::Held(until) => self.queue.put(until + way, Happening::Back { attempt, outcome }),
+                Way::Refused => self.queue.put(now + way, Happening::Back { attempt, outcome }),
+                Way::Broken => {
+                    let outcome = Outcome::Reset;
+                    self.queue.put(now + way, Happening::Back { attempt, outcome });
+                }
+            }
         }
         self.worked(machine);
     }
--- a/crates/lab/src/sim/clients.rs
+++ b/crates/lab/src/sim/clients.rs
@@ -1,57 +1,27 @@
 //! The clients: an open loop. A call is to start when the arrival process says so, whatever became of the others.
 
+use super::arrivals::{drawn, Arrival};
+use super::cuts::Way;
 use super::queue::{End, Happening};
 use super::tally::Ended;
 use super::{Call, Caller, World};
 use crate::chance::part;
-use crate::model::work;
 use hillstall_module::api::Event;
-use rand_xoshiro::rand_core::{RngCore, SeedableRng};
-use rand_xoshiro::Xoshiro256PlusPlus;
-
-/// Which of some parts a number from 0 to 1 falls on.
-fn drawn(number: f64, parts: impl Iterator<Item = f64> + Clone) -> usize {
-    let mut left = number * parts.clone().sum::<f64>();
-    let mut last = 0;
-    for (i, part) in parts.enumerate() {
-        last = i;
-        left -= part;
-        if left < 0.0 {
-            break;
-        }
-    }
-    last
-}
 
 impl World {
-    /// A Poisson process whose rate changes: drawn at the highest rate, and thinned.
+    /// The next call sets out, and the one after it is put down.
     pub(super) fn arrive(&mut self) {
-        let most = self.most_rate;
-        if most <= 0.0 || self.now > self.figures.length {
-            return;
+        if let Some(call) = self.coming.take() {
+            self.call(call);
         }
-        if self.now > 0.0 {
-            let turn = self.now / self.figures.period * std::f64::consts::TAU;
-            let swing = 1.0 + self.figures.swing * turn.sin();
-            let rate = self.figures.rate * swing * self.figures.factor(self.now) * self.burst / 1e3;
-            // Drawn in any case, so that the stream is the same for all policies and bursts.
-            let [keep, class, zone, tenant] = [(); 4].map(|()| part(&mut self.arrivals));
-            // Shapes take different counts of draws, so each call's work has a stream of its own.
-            let size = Xoshiro256PlusPlus::seed_from_u64(self.arrivals.next_u64());
-            if keep * most < rate {
-                self.call(class, size, zone, tenant);
-            }
+        self.coming = self.arrivals.next();
+        if let Some(next) = self.coming {
+            self.queue.put(next.at, Happening::Arrival);
         }
-        let gap = -(1.0 - part(&mut self.arrivals)).ln() / most;
-        self.queue.put(self.now + gap, Happening::Arrival);
     }
 
-    fn call(&mut self, class: f64, mut size: Xoshiro256PlusPlus, zone: f64, tenant: f64) {
-        let class = drawn(class, self.figures.classes.iter().map(|c| c.share));
-        let tenant = drawn(tenant, self.figures.tenants.iter().map(|t| t.traffic));
-        let of = &self.figures.classes[class];
-        let work = work::draw(of.shape, of.work, of.cv, &mut size);
-        let worth = of.worth * work / of.work.max(1e-9);
+    fn call(&mut self, arrival: Arrival) {
+        let Arrival { class, tenant, zone, work, worth, .. } = arrival;
         self.tally.asked(self.now, tenant, worth);
         self.calls.push(Call {
             class,
@@ -59,8 +29,8 @@
             work,
             worth,
             first_at: self.now,
-            deadline_at: self.now + of.deadline,
-            zone: drawn(zone, self.figures.zone_share.iter().copied()),
+            deadline_at: self.now + self.figures.classes[class].deadline,
+            zone,
             no: 0,
             ask: None,
             closed: false,
@@ -94,7 +64,7 @@
         // The front layer sends past a proxy that is gone only once it has noticed.
         let alive = |p: &&usize| {
             let proxy = &self.proxies[**p];
-            proxy.alive || self.now - proxy.gone_at < self.figures.front_notice
+            !proxy.leaves && (proxy.alive || self.now - proxy.gone_at < self.figures.front_notice)
         };
         let near: Vec<usize> = (self.before[0].iter().filter(alive))
             .filter(|p| self.proxies[**p].zone == zone)
@@ -105,11 +75,20 @@
         if able.is_empty() {
             return;
         }
-        let heat = able.iter().map(|p| self.figures.heat.get(*p).copied().unwrap_or(1.0));
+        let heat = able.iter().map(|p| self.proxies[*p].heat);
         let proxy = able[drawn(part(&mut self.network), heat)];
         if !self.proxies[proxy].alive {
+            // One that is gone with its machine says nothing, not even that.
+            if !self.proxies[proxy].silent {
+                self.broken(call, no);
+            }
             return;
         }
+        match self.way_in(proxy) {
+            Way::Open(_) => {}
+            Way::Held(_) => return,
+            Way::Refused | Way::Broken => return self.broken(call, no),
+        }
         self.tally.came_to(proxy);
         let patience = self.patience(class);
         // What is left when the answer must set out.
--- a/crates/lab/src/sim/day.rs
+++ b/crates/lab/src/sim/day.rs
@@ -1,7 +1,7 @@
 //! Reads a day of the bench: one draw of a site, with each machine's speed, the load and the troubles. What the lab
 //! has no model for is passed over (see `docs/measurements/lab.md`); what it can't be without is an error.
 
-use super::setup::{ClassOf, FailureOf, Figures, Place, TenantOf, TierOf};
+use super::setup::{ClassOf, Cut, FailureOf, Figures, Place, TenantOf, TierOf};
 use crate::model::machine::{Choke, Kind};
 use crate::model::work::Shape;
 use crate::scenario::{Repeats, What};
@@ -228,6 +228,7 @@
             part: 1.0,
             times: trouble.size,
             on,
+            cut: Cut::default(),
         });
     }
     let mut figures = Figures {
--- a/crates/lab/src/sim/failures.rs
+++ b/crates/lab/src/sim/failures.rs
@@ -25,7 +25,8 @@
         let failure = &self.figures.failures[index];
         let (what, zone, part, times) = (failure.what, failure.zone, failure.part, failure.times);
         match what {
-            What::Burst => self.burst = if begins { times } else { 1.0 },
+            // The arrivals know it themselves.
+            What::Burst => {}
             What::DiscoveryDown => {
                 self.discovery_down = begins;
                 if !begins {
@@ -71,6 +72,7 @@
                 for proxy in 0..self.proxies.len() {
                     if self.proxies[proxy].zone == zone && self.proxies[proxy].tier == 0 {
                         self.proxies[proxy].alive = !begins;
+                        self.proxies[proxy].silent = begins;
                         self.proxies[proxy].gone_at = self.now;
                         if begins {
                             self.abandon(proxy);
@@ -88,6 +90,25 @@
                 }
             }
             What::Release => {}
+            What::KillProxies => {
+                for proxy in self.fronts(part) {
+                    if begins {
+                        self.kill_front(proxy)
+                    } else {
+                        self.start_front(proxy)
+                    }
+                }
+            }
+            What::RollProxies if begins => {
+                let fronts = self.fronts(part);
+                let each = self.figures.failures[index].lasts / fronts.len() as f64;
+                for (i, proxy) in fronts.into_iter().enumerate() {
+                    self.queue.put(self.now + i as f64 * each, Happening::Roll { proxy });
+                }
+            }
+            // A file that says the same changes nothing; what stands still has no model here.
+            What::RollProxies | What::ReloadProxies | What::StopProxies => {}
+            What::Cut => self.cut(index, begins),
         }
     }
 
@@ -146,13 +167,20 @@
         if self.discovery_down {
             return self.untold.push(machine);
         }
-        let list: [BackendInfo; 1] = [self.info(machine)];
-        let away = list[0].state != BackendState::Ready;
+        let away = self.hosts[machine].state != BackendState::Ready;
         let host = &mut self.hosts[machine];
         host.told_away = if away { Some(host.told_away.unwrap_or(self.now)) } else { None };
         for proxy in self.before[self.hosts[machine].tier].clone() {
-            let told = Event::BackendsChanged { kind: ListKind::Delta, version: 0, backends: &list };
-            self.tell(proxy, told);
+            match self.hears_nothing(proxy) {
+                true => self.missed.push((proxy, machine)),
+                false => self.tell_one(proxy, machine),
+            }
         }
     }
+
+    /// Tells one proxy of one machine.
+    pub(super) fn tell_one(&mut self, proxy: usize, machine: usize) {
+        let list: [BackendInfo; 1] = [self.info(machine)];
+        self.tell(proxy, Event::BackendsChanged { kind: ListKind::Delta, version: 0, backends: &list });
+    }
 }
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -1,13 +1,16 @@
 //! A scenario in simulated time: clients, proxies that run a policy, machines, and what goes wrong. One seed and one
 //! policy give one run, to the byte.
 
+pub mod arrivals;
 mod attempts;
 mod clients;
+mod cuts;
 mod day;
 mod failures;
+mod fronts;
 mod queue;
-mod setup;
-mod tally;
+pub mod setup;
+pub mod tally;
 
 pub use day::NoDay;
 pub use tally::{Second, Tally};
@@ -15,6 +18,7 @@
 use crate::model::machine::{Job, Kind, Machine};
 use crate::policy::{Named, Policy};
 use crate::scenario::Scenario;
+use arrivals::{Arrival, Arrivals};
 use hillstall_module::api::{Action, BackendInfo, BackendState, Event, ListKind};
 use queue::{Happening, Queue};
 use rand_xoshiro::rand_core::RngCore;
@@ -43,8 +47,15 @@
 struct Proxy {
     policy: Box<dyn Policy>,
     tier: usize,
+    rank: usize,
     zone: usize,
+    /// How many times the calls of a common one it gets.
+    heat: f64,
     alive: bool,
+    /// It ends in order: it takes nothing new, and all know it.
+    leaves: bool,
+    /// It is gone with its machine, which refuses nothing and says nothing.
+    silent: bool,
     /// Since when it is gone.
     gone_at: f64,
 }
@@ -110,15 +121,20 @@
     asks: Vec<Ask>,
     attempts: Vec<Attempt>,
     calls: Vec<Call>,
-    arrivals: Xoshiro256PlusPlus,
+    arrivals: Arrivals,
+    /// The next call to set out.
+    coming: Option<Arrival>,
     network: Xoshiro256PlusPlus,
-    burst: f64,
     discovery_down: bool,
     untold: Vec<usize>,
+    /// News that proxies cut off from the list have missed: proxy and machine.
+    missed: Vec<(usize, usize)>,
+    /// Cuts that are in force.
+    cuts: Vec<usize>,
+    named: Named,
+    seeds: Xoshiro256PlusPlus,
     done: Vec<Job>,
     tally: Tally,
-    /// The highest rate of calls that there can be, a millisecond.
-    most_rate: f64,
     looked_at: f64,
 }
 
@@ -172,23 +188,26 @@
             asks: Vec::new(),
             attempts: Vec::new(),
             calls: Vec::new(),
-            arrivals: setup::chance(seed, Stream::Arrivals),
+            arrivals: Arrivals::new(&figures, seed),
+            coming: None,
             network: setup::chance(seed, Stream::Network),
-            burst: 1.0,
             discovery_down: false,
             untold: Vec::new(),
+            missed: Vec::new(),
+            cuts: Vec::new(),
+            named: policy,
+            seeds: setup::chance(seed, Stream::Policies),
             done: Vec::new(),
             tally: Tally::new(policy.name(), seed, figures.length, figures.shares()),
-            most_rate: figures.most_rate(),
             looked_at: f64::MIN,
             figures,
         };
-        world.build(policy, seed);
+        world.build(policy);
         world
     }
 
-    fn build(&mut self, policy: Named, seed: u64) {
-        let mut seeds = setup::chance(seed, Stream::Policies);
+    fn build(&mut self, policy: Named) {
+        let mut seeds = self.seeds.clone();
         for (tier, of) in self.figures.tiers.iter().enumerate() {
             let first = self.hosts.len();
             for place in &of.places {
@@ -219,19 +238,22 @@
                 self.proxies.push(Proxy {
                     policy: policy.start(settings, seeds.next_u64()),
                     tier,
+                    rank,
                     zone,
+                    heat: self.figures.heat.get(number).copied().unwrap_or(1.0),
                     alive: true,
+                    leaves: false,
+                    silent: false,
                     gone_at: f64::MIN,
                 });
                 self.before[tier].push(number);
                 if let Some(host) = *owner {
                     self.hosts[host].proxy = Some(number);
                 }
-                let list: Vec<BackendInfo> = self.tiers[tier].iter().map(|h| self.info(*h)).collect();
-                let told = Event::BackendsChanged { kind: ListKind::Cached, version: 0, backends: &list };
-                self.tell(number, told);
+                self.tell_all(number);
             }
         }
+        self.seeds = seeds;
         for (index, failure) in self.figures.failures.iter().enumerate() {
             self.queue.put(failure.at, Happening::Failure { index, begins: true });
             self.queue.put(failure.at + failure.lasts, Happening::Failure { index, begins: false });
@@ -239,6 +261,13 @@
         self.queue.put(0.0, Happening::Arrival);
     }
 
+    /// Tells a proxy the whole list.
+    fn tell_all(&mut self, proxy: usize) {
+        let tier = self.proxies[proxy].tier;
+        let list: Vec<BackendInfo> = self.tiers[tier].iter().map(|h| self.info(*h)).collect();
+        self.tell(proxy, Event::BackendsChanged { kind: ListKind::Cached, version: 0, backends: &list });
+    }
+
     /// A machine as the list has it.
     fn info(&self, host: usize) -> BackendInfo {
         let h = &self.hosts[host];
@@ -299,6 +328,7 @@
             Happening::Cancel { attempt } => self.cancel_at_machine(attempt),
             Happening::Timer { proxy, token } => self.tell(proxy, Event::Timer { token }),
             Happening::Failure { index, begins } => self.failure(index, begins),
+            Happening::Roll { proxy } => self.roll(proxy),
             Happening::Release { machine, step } => self.release_step(machine, step),
             Happening::Told { machine } => self.told(machine),
         }
--- a/crates/lab/src/sim/queue.rs
+++ b/crates/lab/src/sim/queue.rs
@@ -31,6 +31,8 @@
     Failure { index: usize, begins: bool },
     /// A step in the release of a machine.
     Release { machine: usize, step: Step },
+    /// A proxy before the first tier is restarted in order.
+    Roll { proxy: usize },
     /// The proxies before a tier are told of a machine.
     Told { machine: usize },
 }
--- a/crates/lab/src/sim/setup.rs
+++ b/crates/lab/src/sim/setup.rs
@@ -3,7 +3,7 @@
 use super::tally::Shares;
 use crate::model::machine::Kind;
 use crate::model::work::Shape;
-use crate::scenario::{Repeats, Scenario, What};
+use crate::scenario::{Between, Mode, Repeats, Scenario, What};
 use hillstall_module::api::{
     Allowed, Class, Effect, Objective, Prices, ReportVia, Rules, Scope, Settings, Tenant, Weights,
 };
@@ -13,111 +13,193 @@
 /// Streams of chance, apart from each other: the clients' must not depend on what a policy does, so that runs of one
 /// seed with two policies get the same calls.
 #[derive(Clone, Copy)]
-pub(super) enum Stream {
+pub enum Stream {
+    /// The figures of the run.
     Figures,
+    /// When calls come, and which.
     Arrivals,
+    /// What chance does to messages, and the clients' choices.
     Network,
+    /// The proxies' seeds.
     Policies,
 }
 
-pub(super) fn chance(seed: u64, stream: Stream) -> Xoshiro256PlusPlus {
+/// The random numbers of a stream.
+pub fn chance(seed: u64, stream: Stream) -> Xoshiro256PlusPlus {
     let number = stream as u64 + 1;
     Xoshiro256PlusPlus::seed_from_u64(seed ^ number.wrapping_mul(0x9E37_79B9_7F4A_7C15))
 }
 
+/// A class of calls.
 #[derive(Clone)]
-pub(super) struct ClassOf {
-    pub(super) name: String,
-    pub(super) share: f64,
-    pub(super) work: f64,
-    pub(super) shape: Shape,
-    pub(super) cv: f64,
+pub struct ClassOf {
+    /// For people.
+    pub name: String,
+    /// Its part of the calls.
+    pub share: f64,
+    /// Mean work of a call over all tiers, in core milliseconds.
+    pub work: f64,
+    /// How the work is spread.
+    pub shape: Shape,
+    /// Coefficient of variation of the work.
+    pub cv: f64,
     /// How far one attempt's work is off the call's: coefficient of variation.
-    pub(super) noise: f64,
-    pub(super) aim: f64,
-    pub(super) deadline: f64,
-    pub(super) worth: f64,
-    pub(super) repeats: Repeats,
+    pub noise: f64,
+    /// An answer within this time earns the worth (ms).
+    pub aim: f64,
+    /// How long a client waits in all (ms).
+    pub deadline: f64,
+    /// Worth of a call.
+    pub worth: f64,
+    /// Whether it may run again.
+    pub repeats: Repeats,
 }
 
 /// Where a machine stands, and how fast it is.
 #[derive(Clone)]
-pub(super) struct Place {
-    pub(super) zone: usize,
-    pub(super) speed: f64,
+pub struct Place {
+    /// Its zone.
+    pub zone: usize,
+    /// Core milliseconds that a core does in a millisecond.
+    pub speed: f64,
 }
 
+/// A tenant.
 #[derive(Clone)]
-pub(super) struct TenantOf {
-    pub(super) name: String,
+pub struct TenantOf {
+    /// For people.
+    pub name: String,
     /// Its part of the calls, against the others' parts.
-    pub(super) traffic: f64,
+    pub traffic: f64,
     /// Calls a second within its share.
-    pub(super) quota: f64,
+    pub quota: f64,
 }
 
+/// A tier of machines.
 #[derive(Clone)]
-pub(super) struct TierOf {
-    pub(super) name: String,
-    pub(super) places: Vec<Place>,
-    pub(super) kind: Kind,
-    pub(super) part: f64,
-    pub(super) calls: f64,
+pub struct TierOf {
+    /// For people.
+    pub name: String,
+    /// Its machines.
+    pub places: Vec<Place>,
+    /// What each of them can do.
+    pub kind: Kind,
+    /// A part: of the work of a call, or of the machines.
+    pub part: f64,
+    /// Calls to the next tier for each call, on average.
+    pub calls: f64,
 }
 
+/// A failure.
 #[derive(Clone)]
-pub(super) struct FailureOf {
-    pub(super) what: What,
-    pub(super) at: f64,
-    pub(super) lasts: f64,
-    pub(super) zone: usize,
-    pub(super) tier: usize,
-    pub(super) part: f64,
-    pub(super) times: f64,
+pub struct FailureOf {
+    /// What goes wrong.
+    pub what: What,
+    /// When (ms).
+    pub at: f64,
+    /// For how long (ms).
+    pub lasts: f64,
+    /// Its zone.
+    pub zone: usize,
+    /// Which tier.
+    pub tier: usize,
+    /// A part: of the work of a call, or of the machines.
+    pub part: f64,
+    /// How many times slower, or how many times the load.
+    pub times: f64,
     /// The machines it is about, where they are named one by one.
-    pub(super) on: Vec<usize>,
+    pub on: Vec<usize>,
+    /// Of a cut.
+    pub cut: Cut,
+}
+
+/// Which links a cut is about, and what it does to them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cut {
+    /// Between whom.
+    pub link: Between,
+    /// Proxies of this zone alone.
+    pub from_zone: Option<usize>,
+    /// Machines of this zone alone.
+    pub to_zone: Option<usize>,
+    /// What it does.
+    pub mode: Mode,
+    /// By how much it delays (ms).
+    pub delay: f64,
+}
+
+impl Cut {
+    /// Whether the links from a proxy are meant that is the `rank`th of so many.
+    pub fn is_from(&self, part: f64, (rank, copies): (usize, usize), zone: usize) -> bool {
+        let many = ((part * copies as f64).round() as usize).max(1);
+        rank < many && self.from_zone.is_none_or(|from| from == zone)
+    }
+
+    /// Whether the links to a machine of a zone are meant.
+    pub fn is_to(&self, zone: usize) -> bool {
+        self.to_zone.is_none_or(|to| to == zone)
+    }
 }
 
 /// The figures of one run.
 #[derive(Clone)]
-pub(super) struct Figures {
-    pub(super) length: f64,
-    pub(super) zones: usize,
+pub struct Figures {
+    /// How long calls come (ms).
+    pub length: f64,
+    /// Zones.
+    pub zones: usize,
     /// The zones' parts of the clients.
-    pub(super) zone_share: Vec<f64>,
+    pub zone_share: Vec<f64>,
     /// The zone of each proxy before the first tier.
-    pub(super) proxies: Vec<usize>,
+    pub proxies: Vec<usize>,
     /// How many times the calls of a common one each of them gets.
-    pub(super) heat: Vec<f64>,
-    pub(super) tiers: Vec<TierOf>,
-    pub(super) classes: Vec<ClassOf>,
-    pub(super) tenants: Vec<TenantOf>,
-    pub(super) over_share_worth: f64,
+    pub heat: Vec<f64>,
+    /// The tiers, from the top.
+    pub tiers: Vec<TierOf>,
+    /// The classes.
+    pub classes: Vec<ClassOf>,
+    /// The tenants.
+    pub tenants: Vec<TenantOf>,
+    /// What worth beyond a share counts, as a part of it.
+    pub over_share_worth: f64,
     /// Whether a call's work at a lower tier is drawn anew, or goes by the work of the call that makes it.
-    pub(super) own_work: bool,
-    pub(super) rate: f64,
-    pub(super) swing: f64,
-    pub(super) period: f64,
+    pub own_work: bool,
+    /// First tries a second.
+    pub rate: f64,
+    /// How much the rate swings about its mean, as a part of it.
+    pub swing: f64,
+    /// The time of one swing (ms).
+    pub period: f64,
     /// From which time on (ms) the rate is so many times itself.
-    pub(super) shape: Vec<(f64, f64)>,
-    pub(super) retries: u32,
-    pub(super) wait: f64,
-    pub(super) try_part: f64,
-    pub(super) honour: f64,
-    pub(super) same_zone: f64,
-    pub(super) cross_zone: f64,
-    pub(super) client: f64,
-    pub(super) notice: f64,
+    pub shape: Vec<(f64, f64)>,
+    /// Tries after the first.
+    pub retries: u32,
+    /// Wait before each (ms).
+    pub wait: f64,
+    /// The part of the deadline after which a try is given up.
+    pub try_part: f64,
+    /// The part of clients that follow a stated wait.
+    pub honour: f64,
+    /// One way within a zone (ms).
+    pub same_zone: f64,
+    /// One way between zones (ms).
+    pub cross_zone: f64,
+    /// One way between a client and a proxy (ms).
+    pub client: f64,
+    /// Until proxies know of a drain or a death (ms).
+    pub notice: f64,
     /// Until proxies know that a machine is silent.
-    pub(super) silent_notice: f64,
+    pub silent_notice: f64,
     /// Until proxies know of a start.
-    pub(super) add_notice: f64,
+    pub add_notice: f64,
     /// Until clients are sent past proxies that are gone.
-    pub(super) front_notice: f64,
-    pub(super) failures: Vec<FailureOf>,
+    pub front_notice: f64,
+    /// What goes wrong.
+    pub failures: Vec<FailureOf>,
 }
 
-pub(super) fn draw(scenario: &Scenario, seed: u64) -> Figures {
+/// Draws the figures of a run.
+pub fn draw(scenario: &Scenario, seed: u64) -> Figures {
     let rng = &mut chance(seed, Stream::Figures);
     let tiers: Vec<TierOf> = (scenario.tiers.iter().enumerate())
         .map(|(i, tier)| {
@@ -153,6 +235,14 @@
             part: f.part.draw(rng).min(1.0),
             times: f.times.draw(rng),
             on: Vec::new(),
+            cut: Cut {
+                link: f.link,
+                from_zone: f.from_zone,
+                to_zone: f.to_zone,
+                mode: f.mode,
+                // Drawn for cuts alone, so that the figures of all else stay as they were.
+                delay: if f.what == What::Cut { f.delay.0.draw(rng) } else { 0.0 },
+            },
         })
         .collect();
     let notice = scenario.discovery.notice.0.draw(rng);
@@ -201,12 +291,13 @@
         quota: t.share.draw(rng) * able,
     });
     figures.tenants = tenants.collect();
+    figures.front_notice = scenario.front.notice.0.draw(rng);
     figures
 }
 
 impl TierOf {
     /// Core milliseconds that all its machines do in a millisecond, warm and sound.
-    pub(super) fn able(&self) -> f64 {
+    pub fn able(&self) -> f64 {
         self.places.iter().map(|p| p.speed).sum::<f64>() * self.kind.cores as f64
     }
 }
@@ -219,21 +310,26 @@
     }
 
     /// The highest rate of calls that there can be, a millisecond.
-    pub(super) fn most_rate(&self) -> f64 {
+    pub fn most_rate(&self) -> f64 {
         let burst = self.failures.iter().map(|f| f.times).fold(1.0, f64::max);
         let shape = self.shape.iter().map(|(_, times)| *times).fold(1.0, f64::max);
         self.rate * (1.0 + self.swing) * burst * shape / 1e3
     }
 
+    /// Mean work of a call over all tiers, in core milliseconds.
+    pub fn mean_work(&self) -> f64 {
+        self.mean(|c| c.work)
+    }
+
     /// Calls a second that the fleet can do: the tier that is full first says so.
-    pub(super) fn capacity(&self) -> f64 {
+    pub fn capacity(&self) -> f64 {
         let work = self.mean(|c| c.work);
         let able = |tier: &TierOf| tier.able() / (work * tier.part).max(1e-9);
         self.tiers.iter().map(able).fold(f64::MAX, f64::min) * 1e3
     }
 
     /// The tenants' shares in worth a second, and what worth beyond them counts.
-    pub(super) fn shares(&self) -> Shares {
+    pub fn shares(&self) -> Shares {
         let worth = self.mean(|c| c.worth);
         Shares {
             quotas: self.tenants.iter().map(|t| t.quota * worth).collect(),
@@ -242,12 +338,12 @@
     }
 
     /// How many times its usual the rate is, by the shape.
-    pub(super) fn factor(&self, now: f64) -> f64 {
+    pub fn factor(&self, now: f64) -> f64 {
         self.shape.iter().take_while(|(from, _)| *from <= now).last().map_or(1.0, |(_, times)| *times)
     }
 
     /// What a proxy is told of the deployment.
-    pub(super) fn settings(&self, tier: usize, rank: usize, copies: usize, zone: usize) -> Settings {
+    pub fn settings(&self, tier: usize, rank: usize, copies: usize, zone: usize) -> Settings {
         let kind = &self.tiers[tier].kind;
         let class = |c: &ClassOf| Class {
             name: c.name.clone(),
@@ -319,11 +415,11 @@
                 worst_class: 0.1,
                 worst_tenant: 0.3,
                 nines: 0.0,
-                full_at_nines: 0.0,
+                full_at_nines: 3.0,
             },
         }
     }
 }
 
 /// After this time an attempt at a machine that is gone from the network counts as not connected.
-pub(super) const CONNECT_TIMEOUT: f64 = 75.0;
+pub const CONNECT_TIMEOUT: f64 = 75.0;
--- a/crates/lab/src/sim/tally.rs
+++ b/crates/lab/src/sim/tally.rs
@@ -15,11 +15,11 @@
 /// The tenants' shares. Worth that a tenant asks for, or is served, beyond its share counts as a part of it only; it
 /// is not single calls that lie beyond.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Shares {
+pub struct Shares {
     /// Worth a second; empty where there are no tenants.
-    pub(super) quotas: Vec<f64>,
+    pub quotas: Vec<f64>,
     /// The part that counts of what goes beyond.
-    pub(super) beyond: f64,
+    pub beyond: f64,
 }
 
 impl Shares {
@@ -31,7 +31,7 @@
 
 /// How a call ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum Ended {
+pub enum Ended {
     /// Answered; the latency is from the first try's intended start.
     Answered {
         /// In milliseconds.
@@ -151,7 +151,8 @@
 }
 
 impl Tally {
-    pub(super) fn new(policy: &str, seed: u64, length_ms: f64, shares: Shares) -> Tally {
+    /// An empty one of a run that is so long.
+    pub fn new(policy: &str, seed: u64, length_ms: f64, shares: Shares) -> Tally {
         let seconds = (length_ms / 1e3).ceil().max(1.0) as usize;
         Tally {
             cell: String::new(),
@@ -189,13 +190,15 @@
         &mut self.seconds[((at_ms / 1e3) as usize).min(last)]
     }
 
-    pub(super) fn asked(&mut self, at_ms: f64, tenant: usize, worth: f64) {
+    /// A call sets out.
+    pub fn asked(&mut self, at_ms: f64, tenant: usize, worth: f64) {
         let second = self.second(at_ms);
         second.offered += 1;
         second.tenants[tenant][0] += worth;
     }
 
-    pub(super) fn tried(&mut self, at_ms: f64) {
+    /// A client makes a try.
+    pub fn tried(&mut self, at_ms: f64) {
         self.second(at_ms).tries += 1;
     }
 
@@ -206,11 +209,13 @@
         &mut self.by_proxy[proxy]
     }
 
-    pub(super) fn came_to(&mut self, proxy: usize) {
+    /// A try comes to a proxy before the first tier.
+    pub fn came_to(&mut self, proxy: usize) {
         self.at_proxy(proxy)[0] += 1;
     }
 
-    pub(super) fn refused_by(&mut self, proxy: usize) {
+    /// Such a proxy refuses one.
+    pub fn refused_by(&mut self, proxy: usize) {
         self.at_proxy(proxy)[1] += 1;
     }
 
@@ -227,21 +232,24 @@
         self.refused_hot = part(&self.by_proxy[self.by_proxy.len() - quarter..]);
     }
 
-    pub(super) fn sent(&mut self, at_ms: f64, tier: usize) {
+    /// A proxy sends an attempt.
+    pub fn sent(&mut self, at_ms: f64, tier: usize) {
         self.all_attempts += 1;
         if tier == 0 {
             self.second(at_ms).attempts += 1;
         }
     }
 
-    pub(super) fn looked(&mut self, at_ms: f64, capacity: f64, choked: u64) {
+    /// What the first tier can do now, as a part of what it can do at best, and how many of its machines are choked.
+    pub fn looked(&mut self, at_ms: f64, capacity: f64, choked: u64) {
         let second = self.second(at_ms);
         second.samples += 1;
         second.capacity += (capacity - second.capacity) / second.samples as f64;
         second.choked = second.choked.max(choked);
     }
 
-    pub(super) fn ended(&mut self, first_at_ms: f64, (tenant, worth): (usize, f64), ended: Ended) {
+    /// A call ends, for its client.
+    pub fn ended(&mut self, first_at_ms: f64, (tenant, worth): (usize, f64), ended: Ended) {
         let second = self.second(first_at_ms);
         match ended {
             Ended::Answered { latency_ms, in_aim } => {
@@ -279,7 +287,7 @@
     }
 
     /// Sums up what was told.
-    pub(super) fn close(mut self, chokes: u64) -> Tally {
+    pub fn close(mut self, chokes: u64) -> Tally {
         self.chokes = chokes;
         self.count_worth();
         self.compare_proxies();
