--- a/crates/drill/src/faults.rs
+++ b/crates/drill/src/faults.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{Ends, Fleet, NoDrill};
 use crate::keeper::Sign;
 use crate::link::Fault;
-use crate::list::unix_ms;
+use crate::list::{unix_ms, Started};
 use crate::record::{Cut as CutSeen, Status};
 use hillstall_lab::scenario::{Between, Mode, What};
 use hillstall_lab::sim::setup::FailureOf;
@@ -18,8 +18,6 @@
 const RESTART_MS: f64 = 500.0;
 /// How long after SIGTERM a proxy is killed: the longest deadline and this (ms).
 const KILL_MS: f64 = 700.0;
-/// How long a server that drains still takes calls (ms).
-const SERVES_ON_MS: f64 = 1_200.0;
 
 /// Plays the scenario's failures.
 pub struct Faults {
@@ -88,6 +86,9 @@
             What::Hang => {
                 self.meant(failure).into_iter().for_each(|server| self.fleet.servers[server].hang(true));
             }
+            What::TurnAway => {
+                self.meant(failure).into_iter().for_each(|server| self.fleet.servers[server].drain(true));
+            }
             What::Crash => self.meant(failure).into_iter().for_each(|server| self.die(server, false)),
             What::LoseZone => self.lose_zone(failure.zone),
             What::Release => self.release(failure),
@@ -118,6 +119,9 @@
             What::Hang => {
                 self.meant(failure).into_iter().for_each(|server| self.fleet.servers[server].hang(false));
             }
+            What::TurnAway => {
+                self.meant(failure).into_iter().for_each(|server| self.fleet.servers[server].drain(false));
+            }
             What::Crash => self.meant(failure).into_iter().for_each(|server| self.revive(server)),
             What::LoseZone => self.return_zone(failure.zone),
             What::KillProxies => self.fronts(failure.part).into_iter().for_each(|front| self.start(front)),
@@ -143,7 +147,8 @@
     /// Tells the list of a server, as late as it is.
     fn list(self: &Rc<Faults>, server: usize, status: Status, notice: f64) {
         let fleet = self.fleet.clone();
-        let since = (status == Status::Ready).then(unix_ms);
+        let weight = fleet.weight_again.get();
+        let since = (status == Status::Ready).then(|| Started { since_ms: unix_ms(), weight });
         spawn_local(async move {
             sleep(Duration::from_secs_f64(notice / 1e3)).await;
             fleet.lists.iter().for_each(|list| list.change(server, status, since));
@@ -238,9 +243,9 @@
                 faults.list(server, Status::Draining, notice);
                 let stops = begins + 0.8 * each;
                 // Never before all know of it: such a stop would be a crash.
-                let refuses = (begins + notice + SERVES_ON_MS).min(stops);
+                let refuses = (begins + notice + faults.fleet.figures.serves_on).min(stops);
                 sleep_until(history.instant(refuses)).await;
-                of.drain();
+                of.drain(true);
                 sleep_until(history.instant(stops)).await;
                 faults.die(server, false);
                 sleep(Duration::from_secs_f64(RESTART_MS / 1e3)).await;
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -142,6 +142,8 @@
     pub lists: Vec<Rc<Roster>>,
     /// All links, with their ends.
     pub links: Vec<(Ends, Rc<Link>)>,
+    /// The weight that the list gives to servers that have started again; 1 is the truth.
+    pub weight_again: Cell<f64>,
     by_ends: HashMap<Ends, usize>,
     lives: Rc<RefCell<Vec<u32>>>,
     keeper: RefCell<Keeper>,
@@ -234,6 +236,7 @@
                 name: format!("s{tier}-{n}"),
                 zone: of.places[n].zone,
                 status: Status::Ready,
+                weight: 1.0,
                 since_ms: 0.0,
             });
             let places = places.clone();
@@ -255,6 +258,8 @@
         let processes: Vec<Process> = (sketches.into_iter().enumerate())
             .map(|(number, s)| {
                 let mut settings = figures.settings(s.tier, s.rank, s.copies, s.zone);
+                // The list here answers only when asked, as the platform's does.
+                settings.must_subscribe = true;
                 if let Some(lie) = &lie {
                     lie(&mut settings);
                 }
@@ -286,6 +291,7 @@
             processes,
             servers,
             lists,
+            weight_again: Cell::new(1.0),
             by_ends: links.iter().enumerate().map(|(place, (ends, _))| (*ends, place)).collect(),
             links,
             lives,
@@ -333,29 +339,17 @@
     /// The truth, for the referee.
     pub fn truth(&self) -> Truth {
         let delays = self.figures.failures.iter().map(|f| f.cut.delay);
-        let mean = self.figures.mean_work();
-        let mut below = 1.0;
-        let mut work = Vec::new();
-        for tier in &self.figures.tiers {
-            work.push(mean * tier.part / below);
-            below *= tier.calls.max(1.0);
-        }
         Truth {
             settings: self.figures.settings(0, 0, self.fronts, 0),
             servers: (self.figures.tiers.iter().enumerate())
-                .flat_map(|(tier, of)| {
-                    of.places.iter().enumerate().map(move |(n, place)| (tier, of, n, place))
-                })
-                .map(|(tier, of, n, place)| TrueServer {
+                .flat_map(|(tier, of)| (0..of.places.len()).map(move |n| (tier, n)))
+                .map(|(tier, n)| TrueServer {
                     name: format!("s{tier}-{n}"),
                     tier,
-                    able: place.speed * of.kind.cores as f64,
-                    cold_from: of.kind.cold_from,
-                    cold: of.kind.cold,
+                    cold: self.figures.cold_start(tier, n),
                 })
                 .collect(),
             processes: self.processes.iter().map(|p| p.name.clone()).collect(),
-            work,
             delay: delays.fold(0.0, f64::max),
         }
     }
@@ -453,6 +447,11 @@
         self.keeper.borrow_mut().signal(number, sign).map_err(system("the keeper"))
     }
 
+    /// Kills a proxy and writes nothing down: what a crash looks like to the referee.
+    pub fn strike(&self, number: usize) -> Result<(), NoDrill> {
+        self.keeper.borrow_mut().signal(number, Sign::Kill).map_err(system("the keeper"))
+    }
+
     fn heard(&self, news: News) {
         match news {
             News::Started { .. } => {}
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -3,7 +3,7 @@
 //! goes through a relay of this package that can lose, hold, delay or break what passes. Afterwards the referee joins
 //! what clients and servers saw and judges it by the rules, and by them alone.
 //!
-//! [`run`] is the whole of it. [`link`] and [`keeper`] are of use by themselves.
+//! [`run()`] is the whole of it. [`link`] and [`keeper`] are of use by themselves.
 
 pub mod clients;
 pub mod faults;
--- a/crates/drill/src/link.rs
+++ b/crates/drill/src/link.rs
@@ -42,8 +42,9 @@
     Slow(u32),
 }
 
-/// Which link an outgoing connection of a relay belongs to, by its local address: so a stand-in can tell who calls.
-pub type Callers = Rc<RefCell<HashMap<SocketAddr, usize>>>;
+/// Which link an outgoing connection of a relay belongs to, by its own address and the target's: so a stand-in can tell
+/// who calls. The own one alone is not enough, as the system gives one port to connections to several targets.
+pub type Callers = Rc<RefCell<HashMap<(SocketAddr, SocketAddr), usize>>>;
 
 /// What passed over a link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -217,7 +218,7 @@
         };
         let name = target.local_addr();
         if let Ok(name) = name {
-            self.callers.borrow_mut().insert(name, self.number);
+            self.callers.borrow_mut().insert((name, self.target), self.number);
         }
         // Fails only on streams that are dead, which the first read tells.
         let _ = caller.set_nodelay(true).and(target.set_nodelay(true));
@@ -239,7 +240,7 @@
             abort(&target);
         }
         if let Ok(name) = name {
-            self.callers.borrow_mut().remove(&name);
+            self.callers.borrow_mut().remove(&(name, self.target));
         }
     }
 
--- a/crates/drill/src/list.rs
+++ b/crates/drill/src/list.rs
@@ -29,10 +29,21 @@
     pub zone: usize,
     /// What the list says of it.
     pub status: Status,
+    /// How much of the calls it should get, against the others.
+    pub weight: f64,
     /// When it started last, as Unix time in milliseconds; 0 for long ago.
     pub since_ms: f64,
 }
 
+/// What the list says of a server that has started again.
+#[derive(Clone, Copy, Debug)]
+pub struct Started {
+    /// When, as Unix time in milliseconds.
+    pub since_ms: f64,
+    /// How much of the calls it should get, against the others.
+    pub weight: f64,
+}
+
 /// Where a proxy reaches a server.
 pub type Places = Rc<dyn Fn(usize, usize) -> SocketAddr>;
 
@@ -99,7 +110,7 @@
         let one = |e: &Entry| {
             json!({"name": e.name, "address": (self.places)(process, e.server),
                 "zone": format!("zone-{}", e.zone), "type": "machine", "group": 0,
-                "status": status(e.status), "weight": 1.0, "since_ms": e.since_ms})
+                "status": status(e.status), "weight": e.weight, "since_ms": e.since_ms})
         };
         let listed = entries.iter().filter(|e| !snapshot || e.status != Status::Gone);
         json!({"index": index, "snapshot": snapshot, "endpoints": listed.map(one).collect::<Vec<_>>()})
@@ -111,12 +122,14 @@
     }
 
     /// Says something new of a server. While the service is down, this waits until it is back.
-    pub fn change(&self, server: usize, status: Status, since_ms: Option<f64>) {
+    pub fn change(&self, server: usize, status: Status, started: Option<Started>) {
         let Some(mut entry) = self.entries.borrow().iter().find(|e| e.server == server).cloned() else {
             return;
         };
         entry.status = status;
-        entry.since_ms = since_ms.unwrap_or(entry.since_ms);
+        if let Some(started) = started {
+            (entry.since_ms, entry.weight) = (started.since_ms, started.weight);
+        }
         match *self.down.borrow() {
             true => self.missed.borrow_mut().push(entry),
             false => self.apply(entry),
@@ -174,7 +187,8 @@
     async fn connection(&self, wire: &mut Wire, peer: SocketAddr) -> std::io::Result<()> {
         let Some(message) = wire.message(true).await? else { return Ok(()) };
         self.history.note(|seen| seen.list_calls += 1);
-        let Some(link) = self.callers.borrow().get(&peer).copied() else { return Ok(()) };
+        let own = wire.stream.local_addr()?;
+        let Some(link) = self.callers.borrow().get(&(peer, own)).copied() else { return Ok(()) };
         let who = (self.who)(link);
         {
             let _turn = self.line.lock().await;
--- a/crates/drill/src/platform.rs
+++ b/crates/drill/src/platform.rs
@@ -89,11 +89,13 @@
             for tier in 0..figures.tiers.len() {
                 let given = figures.settings(tier, 1, 4, 0);
                 let text = super::settings(&given).to_string();
-                assert_eq!(
-                    hillstall_settings::settings(text.as_bytes()).as_ref(),
-                    Ok(&given),
-                    "{name} {tier}"
-                );
+                let mut read = hillstall_settings::settings(text.as_bytes()).expect("it is read");
+                for (read, given) in read.tenants.iter_mut().zip(&given.tenants) {
+                    // The last digit of a number may change in decimal form.
+                    assert!((read.allowance_per_s / given.allowance_per_s - 1.0).abs() < 1e-12);
+                    read.allowance_per_s = given.allowance_per_s;
+                }
+                assert_eq!(read, given, "{name} {tier}");
             }
         }
     }
--- a/crates/drill/src/referee.rs
+++ b/crates/drill/src/referee.rs
@@ -2,6 +2,7 @@
 //! the platform's protocol. It knows the rules and the true figures, and nothing of how a proxy decides.
 
 use crate::record::{Done, Ended, Hop, Lived, Seen, Status, Try};
+use hillstall_lab::model::cold::ColdStart;
 use hillstall_module::api::{Effect, Settings};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -74,12 +75,8 @@
     pub name: String,
     /// Its tier.
     pub tier: usize,
-    /// Core milliseconds that it does in a millisecond, warm.
-    pub able: f64,
-    /// The part of that it has when it starts.
-    pub cold_from: f64,
-    /// Until it has all (ms).
-    pub cold: f64,
+    /// What it bears after a start.
+    pub cold: ColdStart,
 }
 
 /// The fleet as it truly is.
@@ -91,8 +88,6 @@
     pub servers: Vec<Server>,
     /// The processes' names.
     pub processes: Vec<String>,
-    /// Mean work of a call at each tier, in core milliseconds.
-    pub work: Vec<f64>,
     /// The most that something takes longer on the links, one way (ms).
     pub delay: f64,
 }
@@ -295,40 +290,14 @@
 
     /// For each cold start: the server, the most of what it was sent against what it bears, and when that was.
     fn overshoots(&self) -> Vec<(usize, f64, f64)> {
-        let rules = &self.truth.settings.rules;
-        let mut all = Vec::new();
-        for start in &self.seen.starts {
-            let server = &self.truth.servers[start.server];
-            let sent: Vec<(f64, f64)> = (self.seen.hops.iter())
-                .filter(|h| h.server == start.server && h.at >= start.at && h.at < start.at + server.cold)
-                .map(|h| (h.at, h.work))
-                .collect();
-            // What it can do from its start to a moment, in core milliseconds.
-            let able = |at: f64| {
-                let t = (at - start.at).clamp(0.0, server.cold);
-                let rise = (1.0 - server.cold_from) * t * t / (2.0 * server.cold.max(1e-9));
-                server.able * (server.cold_from * t + rise)
-            };
-            let (mut worst, mut when, mut from, mut sum) = (0.0, start.at, 0, 0.0);
-            for (at, work) in &sent {
-                sum += work;
-                while sent[from].0 < at - rules.fall_ms {
-                    sum -= sent[from].1;
-                    from += 1;
-                }
-                // A whole window from the first of them on: a burst right at the start has the rest of it.
-                let begin = (at - rules.fall_ms).max(start.at);
-                let bears = rules.fall_multiple * (able(begin + rules.fall_ms) - able(begin));
-                // Slack for chance: a call's work is not known when it is sent.
-                let slack = 3.0 * self.truth.work[server.tier];
-                let part = sum / (bears + slack);
-                if part > worst {
-                    (worst, when) = (part, *at);
-                }
-            }
-            all.push((start.server, worst, when));
-        }
-        all
+        let each = self.seen.starts.iter().map(|start| {
+            let of = |h: &&Hop| h.server == start.server && h.at >= start.at;
+            let sent: Vec<(f64, f64)> =
+                self.seen.hops.iter().filter(of).map(|h| (h.at - start.at, h.work)).collect();
+            let (most, when) = self.truth.servers[start.server].cold.overshoot(&sent);
+            (start.server, most, start.at + when)
+        });
+        each.collect()
     }
 
     fn cold(&self, broken: &mut Vec<Broken>) {
--- a/crates/drill/src/server.rs
+++ b/crates/drill/src/server.rs
@@ -212,9 +212,9 @@
         self.links.borrow().iter().for_each(|link| link.reset());
     }
 
-    /// Turns new calls away from now on.
-    pub fn drain(&self) {
-        self.draining.set(true);
+    /// Turns new calls away, or takes them again.
+    pub fn drain(&self, away: bool) {
+        self.draining.set(away);
     }
 
     /// Falls silent, or goes on.
@@ -291,7 +291,7 @@
 
     async fn calls(self: Rc<Server>, wire: &mut Wire, peer: SocketAddr) -> Result<()> {
         while let Some(message) = wire.message(true).await? {
-            let Some(link) = self.callers.borrow().get(&peer).copied() else {
+            let Some(link) = self.callers.borrow().get(&(peer, self.address())).copied() else {
                 return wire.answer("404 Not Found", "", "who calls?").await;
             };
             let (Some(id), Some(wish)) = (message.header("request-id"), wish(&message)) else {
--- a/crates/hillstall/src/drill.rs
+++ b/crates/hillstall/src/drill.rs
@@ -1,7 +1,7 @@
 //! `hillstall lab drill`: a scenario on real processes.
 
 use crate::commands::print;
-use crate::lab::at;
+use crate::lab::write_lines;
 use hillstall_drill::{run as play, Drilled, Options};
 use hillstall_lab::experiment::{self, Mean};
 use hillstall_lab::policy::Named;
@@ -9,7 +9,6 @@
 use hillstall_lab::scenario::Scenario;
 use hillstall_lab::sim::{self, Tally};
 use std::fmt::Write as _;
-use std::io::Write as _;
 use std::path::PathBuf;
 
 /// What the command line asks for.
@@ -41,11 +40,7 @@
         }
     }
     if let Some(path) = &wishes.json {
-        let mut file = std::fs::File::create(path).map_err(|e| at(path, &e))?;
-        for tally in &tallies {
-            let line = serde_json::to_string(tally).map_err(|e| at(path, &e))?;
-            writeln!(file, "{line}").map_err(|e| at(path, &e))?;
-        }
+        write_lines(path, &tallies)?;
     }
     let simulated: Vec<Tally> = match wishes.beside_lab {
         true => tallies.iter().map(|t| sim::run(scenario, Named::Hillstall, t.seed)).collect(),
--- a/crates/hillstall/src/lab.rs
+++ b/crates/hillstall/src/lab.rs
@@ -4,6 +4,7 @@
 use crate::drill;
 use crate::say;
 use clap::{Args, Subcommand};
+use hillstall_lab::account;
 use hillstall_lab::calls::Fleet;
 use hillstall_lab::experiment::{self, Axis};
 use hillstall_lab::policy::Named;
@@ -101,6 +102,21 @@
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
+    /// Hold one load carried by many copies of the proxy against the same carried by one
+    Account {
+        /// A file, or a scenario that comes with the program
+        #[arg(default_value = "fleet-sum")]
+        scenario: String,
+        /// Numbers of copies; the least is what the others are held against
+        #[arg(long, value_delimiter = ',', default_values_t = [1, 2, 8, 32, 100, 300])]
+        copies: Vec<u32>,
+        /// Loads, as parts of what the servers can do
+        #[arg(long, value_delimiter = ',', default_values_t = [0.9, 1.1, 1.3])]
+        loads: Vec<f64>,
+        /// How to run and where to write
+        #[command(flatten)]
+        how: How,
+    },
     /// Own the processes of a drill; for the drill alone
     #[command(hide = true)]
     Keeper,
@@ -188,6 +204,24 @@
             let seeds: Vec<u64> = (seed..seed.saturating_add(seeds)).collect();
             drill::run(&name, &scenario, &seeds, &drill::Wishes { keep, beside_lab, json })
         }
+        Lab::Account { scenario, copies, loads, how } => {
+            let (name, text) = read(&scenario)?;
+            let bar = ProgressBar::new((copies.len() * loads.len()) as u64 * how.seeds);
+            let account = account::account(&text, &loads, &copies, &how.seeds(), || bar.inc(1))
+                .map_err(|why| format!("{name}: {why}"))?;
+            bar.finish_and_clear();
+            if let Some(path) = &how.json {
+                write_lines(path, account.cells.iter().flat_map(|cell| &cell.runs))?;
+            }
+            print(&account.table());
+            match &how.report {
+                Some(path) => {
+                    let page = account.html(&name).map_err(|why| why.to_string())?;
+                    write(path, &page)
+                }
+                None => Ok(()),
+            }
+        }
         Lab::Keeper => {
             hillstall_drill::keeper::serve();
             Ok(())
@@ -265,11 +299,7 @@
 
 fn show(name: &str, tallies: Vec<Tally>, how: &How) -> Result<(), String> {
     if let Some(path) = &how.json {
-        let mut file = std::fs::File::create(path).map_err(|e| at(path, &e))?;
-        for tally in &tallies {
-            let line = serde_json::to_string(tally).map_err(|e| at(path, &e))?;
-            writeln!(file, "{line}").map_err(|e| at(path, &e))?;
-        }
+        write_lines(path, &tallies)?;
     }
     let groups = report::groups(tallies);
     print(&report::table(&groups));
@@ -279,9 +309,26 @@
     }
 }
 
-fn write_page(title: &str, path: &Path, groups: &[(String, Vec<Tally>)]) -> Result<(), String> {
-    let page = report::html(title, groups).map_err(|why| why.to_string())?;
+/// Writes each run as a JSON line.
+pub(crate) fn write_lines<'a>(
+    path: &Path,
+    tallies: impl IntoIterator<Item = &'a Tally>,
+) -> Result<(), String> {
+    let mut file = std::fs::File::create(path).map_err(|e| at(path, &e))?;
+    for tally in tallies {
+        let line = serde_json::to_string(tally).map_err(|e| at(path, &e))?;
+        writeln!(file, "{line}").map_err(|e| at(path, &e))?;
+    }
+    Ok(())
+}
+
+fn write(path: &Path, page: &str) -> Result<(), String> {
     std::fs::write(path, page).map_err(|e| at(path, &e))?;
     say(format!("written: {}", path.display()));
     Ok(())
 }
+
+fn write_page(title: &str, path: &Path, groups: &[(String, Vec<Tally>)]) -> Result<(), String> {
+    let page = report::html(title, groups).map_err(|why| why.to_string())?;
+    write(path, &page)
+}
--- /dev/null
+++ b/crates/hillstall/tests/drill/harness.rs
@@ -0,0 +1,117 @@
+//! Plays drills, four at a time at the most, and again where the rig itself was late.
+
+use hillstall_drill::fleet::{Ends, Fleet, Lie};
+use hillstall_drill::link::Passed;
+use hillstall_drill::record::History;
+use hillstall_drill::referee::{Rule, Verdict};
+use hillstall_drill::run::Script;
+use hillstall_drill::{Drilled, Options};
+use hillstall_lab::scenarios;
+use hillstall_module::api::Settings;
+use std::cell::RefCell;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::{Condvar, Mutex, PoisonError};
+use tokio::time::sleep_until;
+
+/// Drills that run side by side: more would make each other late on four cores.
+const SIDE_BY_SIDE: usize = 4;
+/// How often a drill is played before a late rig is a failure of its own.
+const PLAYS: usize = 5;
+
+static RUNNING: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+
+struct Turn;
+
+impl Turn {
+    fn take() -> Turn {
+        let running = RUNNING.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let free = RUNNING.1.wait_while(running, |running| *running >= SIDE_BY_SIDE);
+        *free.unwrap_or_else(PoisonError::into_inner) += 1;
+        Turn
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        *RUNNING.0.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        RUNNING.1.notify_one();
+    }
+}
+
+/// What a drill came to.
+pub struct Played(pub Drilled);
+
+impl Played {
+    /// Fails with the whole way of the first requests, if a rule was broken.
+    pub fn keeps_the_rules(&self) {
+        assert!(matches!(self.0.verdict, Verdict::Kept), "{}", self.0.told());
+    }
+
+    /// Fails if the referee did not see a rule broken that was broken on purpose.
+    pub fn breaks(&self, rule: Rule) {
+        assert!(self.0.verdict.breaks(rule), "{} is not seen broken: {}", rule.name(), self.0.told());
+    }
+}
+
+/// Plays a scenario that comes with the program. The options are made anew for each play, as a void drill is repeated.
+pub fn drill_with(name: &str, seed: u64, options: impl Fn() -> Options) -> Played {
+    let scenario = scenarios::find(name).expect("embedded");
+    let program = Path::new(env!("CARGO_BIN_EXE_hillstall"));
+    let mut why = String::new();
+    for _ in 0..PLAYS {
+        let _turn = Turn::take();
+        let drilled = hillstall_drill::run(program, &scenario, seed, options()).expect("it can be played");
+        assert!(drilled.processes >= 6, "a fleet is more than {} processes", drilled.processes);
+        match &drilled.verdict {
+            Verdict::Void(late) => why = late.clone(),
+            _ => return Played(drilled),
+        }
+    }
+    panic!("{name}: void {PLAYS} times: {why}");
+}
+
+/// The same with a lie to the proxies.
+pub fn lied(name: &str, seed: u64, lie: impl Fn(&mut Settings) + 'static) -> Played {
+    let lie: Lie = Rc::new(lie);
+    drill_with(name, seed, || Options { lie: Some(lie.clone()), ..Options::default() })
+}
+
+/// As it is.
+pub fn drill(name: &str, seed: u64) -> Played {
+    drill_with(name, seed, Options::default)
+}
+
+/// With something done beside the calls.
+pub fn scripted<F>(name: &str, seed: u64, script: impl Fn(Rc<Fleet>) -> F + Clone + 'static) -> Played
+where
+    F: std::future::Future<Output = ()> + 'static,
+{
+    drill_with(name, seed, || {
+        let script = script.clone();
+        let script: Script = Box::new(move |fleet| Box::pin(script(fleet)));
+        Options { script: Some(script), ..Options::default() }
+    })
+}
+
+/// What passed over some links at some times (s).
+pub type Looks = Rc<RefCell<Vec<Passed>>>;
+
+/// Looks at links at some times; what passed by then is written down.
+pub async fn look(fleet: Rc<Fleet>, looks: Looks, times: [f64; 3], which: fn(Ends) -> bool) {
+    looks.borrow_mut().clear();
+    for at in times {
+        wait(&fleet.history, at).await;
+        looks.borrow_mut().push(fleet.passed(which));
+    }
+}
+
+/// Waits until so many seconds after the first call.
+pub async fn wait(history: &History, at: f64) {
+    sleep_until(history.instant(at * 1e3)).await;
+}
+
+/// Service in points of 100.
+pub fn service(played: &Played) -> f64 {
+    100.0 * played.0.tally.service
+}
--- /dev/null
+++ b/crates/hillstall/tests/drill/main.rs
@@ -0,0 +1,207 @@
+//! Whole fleets of real processes with faults between them. Each drill is seen to bite, is judged by the referee, and is
+//! played once more with its mechanism off or a rule broken on purpose: then it must fail.
+
+mod harness;
+
+use harness::{drill, drill_with, lied, look, scripted, service, wait, Looks};
+use hillstall_drill::fleet::{Ends, Lie};
+use hillstall_drill::record::{Done, Ended, Life, Lived, Status, Try};
+use hillstall_drill::referee::{self, Rule};
+use hillstall_drill::Options;
+use hillstall_module::api::Effect;
+use std::rc::Rc;
+
+/// Says what was measured: seen with `--nocapture`, and in a failure.
+fn say(what: &str, kept: f64, off: f64) {
+    println!("{what}: {kept:.2}; {off:.2} with the mechanism off");
+}
+
+#[test]
+fn fronts_that_lose_a_hall_go_on_with_the_other() {
+    // The links that are cut, before and twice during the cut.
+    let looks = Looks::default();
+    let seen = looks.clone();
+    let kept = scripted("drill-cut", 1, move |fleet| {
+        look(fleet, seen.clone(), [2.9, 3.5, 5.8], |ends| {
+            matches!(ends, Ends::Server { process: 0 | 1, server: 1 | 3 | 5 })
+        })
+    });
+    kept.keeps_the_rules();
+    let looks = looks.borrow();
+    assert!(looks[0].forth > 0, "the links carried calls before the cut: {looks:?}");
+    assert_eq!(looks[1], looks[2], "nothing passes during the cut");
+    // With one attempt for each call, whatever falls on a link that is cut is the client's to try again.
+    let off = lied("drill-cut", 1, |told| told.allowed.max_attempts = 1);
+    let unserved = |p: &harness::Played| {
+        // What was out when the links were cut hangs with them, whatever the fronts do.
+        let during =
+            |t: &&Try| t.process < 2 && t.written_at.is_some_and(|at| (3_500.0..6_000.0).contains(&at));
+        p.0.seen.tries.iter().filter(during).filter(|t| t.ended != Ended::Served).count()
+    };
+    say("tries that the cut fronts did not serve", unserved(&kept) as f64, unserved(&off) as f64);
+    assert!(2 * unserved(&off) > 3 * unserved(&kept), "repeats are of no use");
+}
+
+#[test]
+fn what_may_have_run_is_not_repeated_when_answers_are_lost() {
+    let looks = Looks::default();
+    let seen = looks.clone();
+    let kept = scripted("drill-one-way", 1, move |fleet| {
+        look(fleet, seen.clone(), [2.9, 3.1, 4.9], |ends| matches!(ends, Ends::Server { process: 0 | 1, .. }))
+    });
+    kept.keeps_the_rules();
+    let looks = looks.borrow();
+    assert!(looks[2].forth > looks[1].forth, "calls still reach the boxes: {looks:?}");
+    assert_eq!(looks[2].back, looks[1].back, "answers don't come back");
+    // A class that must never run twice, told as one with a key.
+    let broken = lied("drill-one-way", 1, |told| {
+        for class in told.classes.iter_mut().filter(|c| c.effect == Effect::Once) {
+            class.effect = Effect::Keyed;
+        }
+    });
+    broken.breaks(Rule::BarredRepeat);
+}
+
+#[test]
+fn boxes_that_come_back_cold_are_not_pushed_over_by_the_sum_of_all_fronts() {
+    let kept = drill("drill-cold", 1);
+    kept.keeps_the_rules();
+    assert_eq!(kept.0.seen.starts.len(), 3, "three boxes came back cold");
+    let calls = |from: f64| {
+        let cold = |server: usize| kept.0.seen.starts.iter().any(|s| s.server == server);
+        kept.0.seen.hops.iter().filter(|h| cold(h.server) && h.at > from).count()
+    };
+    assert!(calls(4_500.0) > 20, "they are called again");
+    // A list that says that each of them should get thirty times the calls of the others.
+    // Proxies that are told of no cold rule, and that a minute is in time, believe it.
+    let lie: Lie = Rc::new(|told| {
+        (told.rules.cold_ms, told.fleet_size, told.rank) = (0.0, 1, 0);
+        told.classes.iter_mut().for_each(|class| class.aim_ms = 60_000.0);
+    });
+    let broken = drill_with("drill-cold", 1, || Options {
+        lie: Some(lie.clone()),
+        script: Some(Box::new(|fleet| Box::pin(async move { fleet.weight_again.set(30.0) }))),
+        ..Options::default()
+    });
+    let sent = |p: &harness::Played| referee::overshoot(&p.0.truth, &p.0.seen);
+    say("most that a cold box is sent, of what it bears", sent(&kept), sent(&broken));
+    broken.breaks(Rule::Cold);
+}
+
+#[test]
+fn nothing_new_reaches_a_draining_box_after_its_grace() {
+    let kept = drill("drill-release", 1);
+    kept.keeps_the_rules();
+    let drains = kept.0.seen.told.iter().filter(|t| t.status == Status::Draining).count();
+    assert!(drains >= 2 * 4, "all fronts were told of all drains: {drains}");
+    let broken = lied("drill-release", 1, |told| told.rules.drain_grace_ms = 60_000.0);
+    broken.breaks(Rule::Drain);
+}
+
+#[test]
+fn seven_in_ten_fronts_that_die_at_once_are_made_up_for() {
+    let kept = drill("drill-kill", 1);
+    kept.keeps_the_rules();
+    let killed = kept.0.seen.lives.iter().filter(|l| l.what == Lived::Killed).count();
+    assert_eq!(killed, 5, "five of seven fronts die");
+    let broke = kept.0.seen.tries.iter().filter(|t| t.ended == Ended::Broken).count();
+    assert!(broke > 0, "clients see their connections break");
+    // The last three seconds: all are back, with nothing learned.
+    let after = |p: &harness::Played| {
+        let last = &p.0.tally.seconds[6..];
+        let sum = |of: fn(&hillstall_lab::sim::Second) -> f64| last.iter().map(of).sum::<f64>();
+        100.0 * sum(|s| s.earned) / sum(|s| s.worth)
+    };
+    assert!(after(&kept) > 85.0, "service is {:.1} once they are back", after(&kept));
+    // One that ends and was not told to is a crash.
+    let broken = scripted("drill-kill", 1, |fleet| async move {
+        wait(&fleet.history, 2.0).await;
+        fleet.strike(6).expect("the keeper hears");
+    });
+    broken.breaks(Rule::Crash);
+}
+
+#[test]
+fn fronts_that_are_restarted_in_order_lose_nothing_while_the_tier_is_crowded() {
+    let kept = drill("drill-roll", 1);
+    kept.keeps_the_rules();
+    let ended = kept.0.seen.lives.iter().filter(|l| matches!(l.what, Lived::Ended(Some(0)))).count();
+    assert_eq!(ended, 5, "all five fronts ended in order");
+    assert!(kept.0.tally.refused > 0.02, "the tier is crowded: {:.3} refused", kept.0.tally.refused);
+    // One that is killed where it should have been asked loses what it had taken.
+    let broken = scripted("drill-roll", 1, |fleet| async move {
+        wait(&fleet.history, 1.5).await;
+        let at = fleet.history.now();
+        fleet.history.note(|seen| seen.lives.push(Life { process: 4, at, what: Lived::Asked }));
+        fleet.strike(4).expect("the keeper hears");
+    });
+    broken.breaks(Rule::OneAnswer);
+}
+
+#[test]
+fn fronts_that_stood_still_go_on_by_the_list_as_it_is_now() {
+    let kept = drill("drill-stop", 1);
+    kept.keeps_the_rules();
+    let stopped = |what: Lived| kept.0.seen.lives.iter().filter(|l| l.what == what).count();
+    assert_eq!((stopped(Lived::Stopped), stopped(Lived::Went)), (2, 2));
+    let by_stopped = |from: f64, to: f64| {
+        kept.0.seen.hops.iter().filter(|h| h.process < 2 && h.at > from && h.at < to).count()
+    };
+    assert!(by_stopped(0.0, 2_400.0) > 0 && by_stopped(6_000.0, 11_000.0) > 0, "they send before and after");
+    assert_eq!(by_stopped(2_700.0, 5_400.0), 0, "they stand still");
+    let broken = lied("drill-stop", 1, |told| told.rules.drain_grace_ms = 60_000.0);
+    broken.breaks(Rule::Drain);
+}
+
+#[test]
+fn a_fleet_without_a_list_keeps_the_rules_while_fronts_and_boxes_die() {
+    let kept = drill("drill-list", 1);
+    kept.keeps_the_rules();
+    let told = |from: f64, to: f64| kept.0.seen.told.iter().filter(|t| t.at > from && t.at < to).count();
+    assert_eq!(told(1_600.0, 6_400.0), 0, "the list says nothing while it is down");
+    assert!(told(6_400.0, 11_000.0) > 0, "and is heard again");
+    let lost = kept.0.seen.hops.iter().filter(|h| h.done == Done::Lost).count();
+    assert!(lost > 0, "calls were lost with their boxes");
+    // A class that must never run twice, told as one that is safe to repeat.
+    let broken = lied("drill-list", 1, |told| {
+        for class in told.classes.iter_mut().filter(|c| c.effect == Effect::Once) {
+            class.effect = Effect::Repeatable;
+        }
+    });
+    broken.breaks(Rule::BarredRepeat);
+}
+
+#[test]
+fn one_tenants_flood_does_not_take_the_others_share() {
+    let kept = drill("drill-flood", 1);
+    kept.keeps_the_rules();
+    // Without shares whoever asks most gets most.
+    let off = lied("drill-flood", 1, |told| {
+        told.tenants.iter_mut().for_each(|tenant| tenant.allowance_per_s = 1e9);
+    });
+    say("service within the shares", service(&kept), service(&off));
+    assert!(service(&kept) > service(&off) + 3.0, "shares are of no use");
+}
+
+#[test]
+fn a_burst_at_all_fronts_leaves_no_box_slow() {
+    let kept = drill("drill-burst", 1);
+    kept.keeps_the_rules();
+    // Told that a minute is in time for everybody, no front ever turns a call away for the others' sake.
+    let off = lied("drill-burst", 1, |told| {
+        told.classes.iter_mut().for_each(|class| class.aim_ms = 60_000.0);
+    });
+    say("service", service(&kept), service(&off));
+    assert_eq!(kept.0.tally.chokes, 0, "a box turned slow");
+    assert!(service(&off) < service(&kept) - 10.0, "gates are of no use");
+}
+
+#[test]
+fn no_request_has_more_than_six_attempts_while_ledgers_turn_calls_away() {
+    let kept = drill("drill-full", 1);
+    kept.keeps_the_rules();
+    let away = kept.0.seen.hops.iter().filter(|h| h.done == Done::TurnedAway).count();
+    assert!(away > 10, "ledgers turned {away} calls away");
+    let broken = lied("drill-full", 1, |told| told.allowed.max_attempts = 30);
+    broken.breaks(Rule::Attempts);
+}
--- /dev/null
+++ b/crates/lab/src/account.rs
@@ -0,0 +1,151 @@
+//! The account of harm in the sum: one same load and set of servers, carried by one copy of the proxy, by two, by many.
+//! What a copy does is harmless alone; what counts is the *fleet ratio*, service with so many copies over service with
+//! one that carries it all.
+
+use crate::experiment::{grid, Axis, Mean, NoSweep};
+use crate::policy::Named;
+use crate::report::{lines, markdown, page, NoPlot, Points};
+use crate::sim::{self, Tally};
+use rayon::prelude::*;
+
+/// The key of the number of copies.
+const COPIES: &str = "proxies";
+/// The key of the load.
+const LOAD: &str = "load.of_capacity";
+
+/// Runs of one load with one number of copies.
+pub struct Cell {
+    /// The load, as a part of what the servers can do.
+    pub load: f64,
+    /// Copies before the first tier.
+    pub copies: u32,
+    /// One run for each seed.
+    pub runs: Vec<Tally>,
+}
+
+/// The whole account, by load and then by number of copies.
+pub struct Account {
+    /// The cells; those of one load follow each other.
+    pub cells: Vec<Cell>,
+}
+
+/// Plays a scenario with each load and number of copies. `ended` is called after each run.
+pub fn account(
+    text: &str,
+    loads: &[f64],
+    copies: &[u32],
+    seeds: &[u64],
+    ended: impl Fn() + Sync,
+) -> Result<Account, NoSweep> {
+    let axis = |key: &str, values: Vec<toml::Value>| Axis { key: key.to_string(), values };
+    let axes = [
+        axis(LOAD, loads.iter().map(|l| toml::Value::Float(*l)).collect()),
+        axis(COPIES, copies.iter().map(|n| toml::Value::Integer(i64::from(*n))).collect()),
+    ];
+    let scenarios = grid(text, &axes)?;
+    let places = loads.iter().flat_map(|load| copies.iter().map(move |copies| (*load, *copies)));
+    let jobs: Vec<(usize, u64)> =
+        (0..scenarios.len()).flat_map(|cell| seeds.iter().map(move |seed| (cell, *seed))).collect();
+    // The longest runs are those with most copies: one at a time from a common list, so that no core waits.
+    let mut runs: Vec<Tally> = (jobs.into_par_iter().with_max_len(1))
+        .map(|(cell, seed)| {
+            let tally = sim::run(&scenarios[cell].1, Named::Hillstall, seed);
+            ended();
+            tally
+        })
+        .collect();
+    let cells = places.map(|(load, copies)| {
+        let rest = runs.split_off(seeds.len().min(runs.len()));
+        Cell { load, copies, runs: std::mem::replace(&mut runs, rest) }
+    });
+    Ok(Account { cells: cells.collect() })
+}
+
+impl Account {
+    /// The runs with the fewest copies at a cell's load.
+    fn alone<'a>(&'a self, cell: &'a Cell) -> &'a Cell {
+        let same = self.cells.iter().filter(|other| other.load == cell.load);
+        same.min_by_key(|other| other.copies).unwrap_or(cell)
+    }
+
+    /// Service over that of the fewest copies, seed by seed: the calls are the same, so that their chance cancels out.
+    pub fn ratio(&self, cell: &Cell) -> Mean {
+        let pairs = cell.runs.iter().zip(&self.alone(cell).runs);
+        Mean::of(&pairs.map(|(many, one)| many.service / one.service.max(1e-9)).collect::<Vec<_>>())
+    }
+
+    fn rows(&self) -> Vec<Vec<String>> {
+        let mut rows: Vec<Vec<String>> = vec![[
+            "load",
+            "copies",
+            "service",
+            "fleet ratio",
+            "tries",
+            "attempts",
+            "trials at a failing server /s",
+            "connections a server /s",
+            "cold servers sent, of what they bear",
+            "refused, spread over copies",
+            "worthiest refused unsent %",
+            "of these inverted %",
+            "choked",
+        ]
+        .map(String::from)
+        .into()];
+        for cell in &self.cells {
+            let mean =
+                |figure: fn(&Tally) -> f64| Mean::of(&cell.runs.iter().map(figure).collect::<Vec<_>>());
+            let with = |m: Mean, d: usize| format!("{:.d$} ± {:.d$}", m.mean, m.half);
+            let bare = |m: Mean, d: usize| format!("{:.d$}", m.mean);
+            rows.push(vec![
+                format!("{:.2}", cell.load),
+                cell.copies.to_string(),
+                with(mean(|t| 100.0 * t.service), 1),
+                with(self.ratio(cell), 3),
+                bare(mean(|t| t.tries), 2),
+                bare(mean(|t| t.attempts), 2),
+                bare(mean(|t| t.harm.trials), 2),
+                bare(mean(|t| t.harm.handshakes), 2),
+                bare(mean(|t| t.harm.overshoot), 2),
+                bare(mean(|t| t.harm.refused_spread), 3),
+                bare(mean(|t| 100.0 * t.harm.worthiest_refused), 2),
+                bare(mean(|t| 100.0 * t.harm.inversions), 1),
+                bare(mean(|t| t.chokes as f64), 1),
+            ]);
+        }
+        rows
+    }
+
+    /// The table for the terminal, in Markdown.
+    pub fn table(&self) -> String {
+        markdown(&self.rows())
+    }
+
+    /// One self-contained page: the table, and the figures over the number of copies, a curve for each load.
+    pub fn html(&self, title: &str) -> Result<String, NoPlot> {
+        let curves = |figure: &dyn Fn(&Cell) -> f64| {
+            let mut curves: Vec<Points> = Vec::new();
+            for cell in &self.cells {
+                let (name, point) =
+                    (format!("load {:.2}", cell.load), (f64::from(cell.copies), figure(cell)));
+                match curves.iter_mut().find(|(known, _)| *known == name) {
+                    Some((_, points)) => points.push(point),
+                    None => curves.push((name, vec![point])),
+                }
+            }
+            curves
+        };
+        let mean = |figure: fn(&Tally) -> f64| {
+            move |cell: &Cell| cell.runs.iter().map(figure).sum::<f64>() / cell.runs.len().max(1) as f64
+        };
+        let plots = [
+            lines("Fleet ratio", "copies", "", &curves(&|cell| self.ratio(cell).mean))?,
+            lines("Attempts for each call", "copies", "", &curves(&mean(|t| t.attempts)))?,
+            lines("Trials at a failing server", "copies", "1/s", &curves(&mean(|t| t.harm.trials)))?,
+            lines("New connections a server", "copies", "1/s", &curves(&mean(|t| t.harm.handshakes)))?,
+            lines("Spread of the refused parts", "copies", "", &curves(&mean(|t| t.harm.refused_spread)))?,
+            lines("Inversions", "copies", "%", &curves(&mean(|t| 100.0 * t.harm.inversions)))?,
+        ];
+        Ok(page(title, &self.rows(), &plots))
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! limit of what any proxy can do, and callers that measure. In simulated time: servers that crowd, choke, hang and
 //! die, clients that try again, and experiments that hold policies against each other. And what a fleet's logs tell.
 
+pub mod account;
 pub mod callers;
 pub mod calls;
 mod chance;
--- a/crates/lab/src/model/machine.rs
+++ b/crates/lab/src/model/machine.rs
@@ -122,6 +122,11 @@
         self.up
     }
 
+    /// Whether its process runs and does not hang.
+    pub fn works(&self) -> bool {
+        self.up && !self.hung
+    }
+
     /// Whether it is slower since it was crowded.
     pub fn is_choked(&self) -> bool {
         self.choked_since.is_some()
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -62,19 +62,38 @@
 
 /// A table for the terminal, in Markdown.
 pub fn table(groups: &[(String, Vec<Tally>)]) -> String {
-    let mut lines: Vec<String> =
-        rows(groups).iter().map(|row| format!("| {} |\n", row.join(" | "))).collect();
-    lines.insert(1, format!("| --- |{}\n", " ---: |".repeat(COLUMNS.len() + 2)));
+    markdown(&rows(groups))
+}
+
+/// A table whose first row is its heading, in Markdown.
+pub(crate) fn markdown(rows: &[Vec<String>]) -> String {
+    let columns = rows.first().map_or(0, Vec::len);
+    let mut lines: Vec<String> = rows.iter().map(|row| format!("| {} |\n", row.join(" | "))).collect();
+    lines.insert(1.min(lines.len()), format!("| --- |{}\n", " ---: |".repeat(columns.saturating_sub(1))));
     lines.concat()
 }
 
 /// One curve: its name, and a value for each second.
 type Curve = (String, Vec<f64>);
 
+/// A plot over the seconds of a run.
 fn plot(title: &str, unit: &str, curves: &[Curve]) -> Result<String, NoPlot> {
+    let over_time = |(name, values): &Curve| {
+        let points = values.iter().enumerate().map(|(s, v)| (s as f64 + 0.5, *v));
+        (name.clone(), points.collect())
+    };
+    lines(title, "s", unit, &curves.iter().map(over_time).collect::<Vec<_>>())
+}
+
+/// A curve: its name, and its points.
+pub(crate) type Points = (String, Vec<(f64, f64)>);
+
+/// A plot of curves over any axis.
+pub(crate) fn lines(title: &str, axis: &str, unit: &str, curves: &[Points]) -> Result<String, NoPlot> {
     let wrong = |why: &dyn std::fmt::Display| NoPlot(why.to_string());
-    let seconds = curves.iter().map(|c| c.1.len()).max().unwrap_or(1).max(1);
-    let most = curves.iter().flat_map(|c| c.1.iter()).copied().fold(0.0, f64::max).max(1e-9) * 1.05;
+    let points = || curves.iter().flat_map(|c| c.1.iter());
+    let widest = points().map(|p| p.0).fold(0.0, f64::max).max(1e-9);
+    let most = points().map(|p| p.1).fold(0.0, f64::max).max(1e-9) * 1.05;
     let mut svg = String::new();
     {
         let root = SVGBackend::with_string(&mut svg, (860, 260)).into_drawing_area();
@@ -83,14 +102,13 @@
             .margin(8)
             .x_label_area_size(28)
             .y_label_area_size(56)
-            .build_cartesian_2d(0.0..seconds as f64, 0.0..most)
+            .build_cartesian_2d(0.0..widest, 0.0..most)
             .map_err(|e| wrong(&e))?;
         let mut mesh = chart.configure_mesh();
-        mesh.x_desc("s").y_desc(unit).draw().map_err(|e| wrong(&e))?;
-        for (i, (name, values)) in curves.iter().enumerate() {
+        mesh.x_desc(axis).y_desc(unit).draw().map_err(|e| wrong(&e))?;
+        for (i, (name, points)) in curves.iter().enumerate() {
             let color = Palette99::pick(i).to_rgba();
-            let points = values.iter().enumerate().map(|(s, v)| (s as f64 + 0.5, *v));
-            let series = LineSeries::new(points, color.stroke_width(2));
+            let series = LineSeries::new(points.iter().copied(), color.stroke_width(2));
             let line = chart.draw_series(series).map_err(|e| wrong(&e))?;
             line.label(name.as_str())
                 .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
@@ -147,18 +165,23 @@
             [(format!("what the first tier can do ({name})"), able), ("load, of its peak".into(), load)];
         plots.push(plot("Capacity against load", "%", &curves)?);
     }
+    Ok(page(title, &rows(groups), &plots))
+}
+
+/// One self-contained page of a table, whose first row is its heading, and plots.
+pub(crate) fn page(title: &str, rows: &[Vec<String>], plots: &[String]) -> String {
     let line = |(i, row): (usize, &Vec<String>)| {
         let tag = if i == 0 { "th" } else { "td" };
         let cells: String = row.iter().map(|cell| format!("<{tag}>{}</{tag}>", escape(cell))).collect();
         format!("<tr>{cells}</tr>\n")
     };
-    let rows: String = rows(groups).iter().enumerate().map(line).collect();
+    let rows: String = rows.iter().enumerate().map(line).collect();
     let title = escape(title);
     let plots = plots.join("\n");
-    Ok(format!(
+    format!(
         "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{title}</title>\n\
          <style>body{{font:14px sans-serif;margin:2em}}td,th{{padding:2px 10px;text-align:right}}\
          td:first-child{{text-align:left}}svg{{display:block;margin:1em 0}}</style>\n\
          <h1>{title}</h1>\n<table>\n{rows}</table>\n{plots}\n</html>\n"
-    ))
+    )
 }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -310,11 +310,13 @@
 pub struct Discovery {
     /// Until the proxies know of a drain, a death or a start.
     pub notice: Span,
+    /// How long a machine takes calls still after they know that it drains.
+    pub serves_on: Span,
 }
 
 impl Default for Discovery {
     fn default() -> Discovery {
-        Discovery { notice: Span::ms(1_500.0) }
+        Discovery { notice: Span::ms(1_500.0), serves_on: Span::ms(1_200.0) }
     }
 }
 
@@ -342,6 +344,8 @@
     Crash,
     /// A part of a tier's machines are silent for a while and then go on.
     Hang,
+    /// A part of a tier's machines turn all new calls away unseen, as if they were full.
+    TurnAway,
     /// Something they share makes all machines of a tier so many times slower.
     Slow,
     /// So many times the usual load.
--- a/crates/lab/src/scenarios.rs
+++ b/crates/lab/src/scenarios.rs
@@ -2,11 +2,29 @@
 
 use crate::scenario::{Invalid, Scenario};
 
-const ALL: [(&str, &str); 4] = [
+/// A drill: what is its own, and the small fleet that all drills share.
+macro_rules! drill {
+    ($file:literal) => {
+        concat!(include_str!(concat!("../scenarios/", $file)), include_str!("../scenarios/drill-fleet.toml"))
+    };
+}
+
+const ALL: [(&str, &str); 15] = [
     ("lose-hall", include_str!("../scenarios/lose-hall.toml")),
     ("hot-copies", include_str!("../scenarios/hot-copies.toml")),
-    ("drill-cut", include_str!("../scenarios/drill-cut.toml")),
+    ("fleet-sum", include_str!("../scenarios/fleet-sum.toml")),
     ("one-hangs", include_str!("../scenarios/one-hangs.toml")),
+    ("drill-cut", drill!("drill-cut.toml")),
+    ("drill-one-way", drill!("drill-one-way.toml")),
+    ("drill-cold", drill!("drill-cold.toml")),
+    ("drill-release", drill!("drill-release.toml")),
+    ("drill-kill", drill!("drill-kill.toml")),
+    ("drill-roll", drill!("drill-roll.toml")),
+    ("drill-stop", drill!("drill-stop.toml")),
+    ("drill-list", drill!("drill-list.toml")),
+    ("drill-flood", drill!("drill-flood.toml")),
+    ("drill-burst", drill!("drill-burst.toml")),
+    ("drill-full", drill!("drill-full.toml")),
 ];
 
 /// Their names.
--- a/crates/lab/src/sim/attempts.rs
+++ b/crates/lab/src/sim/attempts.rs
@@ -27,6 +27,8 @@
         ttl: f64,
     ) {
         let id = self.asks.len();
+        // Clients mark what they try again, as the settings say.
+        let repeat = matches!(caller, Caller::Client { no, .. } if no > 0);
         self.asks.push(Ask {
             proxy,
             caller,
@@ -50,7 +52,7 @@
             class: class as u8,
             tenant: tenant as u16,
             hint_ms: None,
-            repeat: false,
+            repeat,
             write: false,
             ttl_ms: ttl,
         };
@@ -80,6 +82,14 @@
         let attempt = self.attempts.len();
         let noise = self.figures.classes[self.asks[ask].class].noise;
         let off = work::draw(Shape::Lognormal, 1.0, noise, &mut self.network);
+        let (class, part) = (self.asks[ask].class, of.part);
+        if tier == 0 && self.asks[ask].attempts == 0 {
+            self.account.let_in(self.now, proxy, class);
+        }
+        let host = &self.hosts[machine];
+        let started = host.started_at.map(|at| (at, self.now - at));
+        let failing = host.lost || !host.machine.works();
+        self.account.sent((proxy, machine), failing, started, self.asks[ask].work * off * part);
         let a = &mut self.asks[ask];
         self.attempts.push(Attempt {
             ask,
@@ -90,7 +100,7 @@
             held: false,
             dropped: false,
             phases_left: phases,
-            phase_work: a.work * off * of.part / phases as f64,
+            phase_work: a.work * off * part / phases as f64,
             below: None,
         });
         a.attempts += 1;
@@ -130,6 +140,10 @@
             let outcome = Outcome::ConnectFailed;
             return self.queue.put(self.now + way, Happening::Back { attempt, outcome });
         }
+        if host.turns_away {
+            let outcome = Outcome::Full;
+            return self.queue.put(self.now + way, Happening::Back { attempt, outcome });
+        }
         match host.machine.offer(self.now, attempt as u64, work, &mut self.done) {
             Taken::Yes => self.attempts[attempt].held = true,
             Taken::Full => {
@@ -220,6 +234,7 @@
             Caller::Client { call, no } => {
                 if end == End::Refused {
                     self.tally.refused_by(a.proxy);
+                    self.account.refused(self.now, a.proxy, a.class, a.attempts == 0);
                 }
                 let at = self.now + self.figures.client;
                 self.queue.put(at, Happening::Final { call, no, end, come_back });
@@ -288,6 +303,8 @@
         let (ask, no, machine, took) = (a.ask, a.no, a.machine, self.now - a.sent_at);
         self.asks[ask].out = None;
         let proxy = self.asks[ask].proxy;
+        let kept = matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Error);
+        self.account.ended((proxy, machine), kept);
         if !self.proxies[proxy].alive {
             return;
         }
--- a/crates/lab/src/sim/day.rs
+++ b/crates/lab/src/sim/day.rs
@@ -256,6 +256,7 @@
         notice: ms(day.discovery.notice),
         silent_notice: ms(day.discovery.silent_notice),
         add_notice: ms(day.discovery.add),
+        serves_on: 1_200.0,
         front_notice: ms(day.front_notice),
         failures,
     };
--- a/crates/lab/src/sim/failures.rs
+++ b/crates/lab/src/sim/failures.rs
@@ -49,6 +49,11 @@
                     self.worked(machine);
                 }
             }
+            What::TurnAway => {
+                for machine in self.meant(index, part) {
+                    self.hosts[machine].turns_away = begins;
+                }
+            }
             What::Crash => {
                 for machine in self.meant(index, part) {
                     if begins {
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -8,6 +8,7 @@
 mod day;
 mod failures;
 mod fronts;
+pub mod harm;
 mod queue;
 pub mod setup;
 pub mod tally;
@@ -31,12 +32,16 @@
 struct Host {
     machine: Machine,
     tier: usize,
+    /// Its place in the tier.
+    place: usize,
     zone: usize,
     /// Of the list: what is true now; proxies are told later.
     state: BackendState,
     started_at: Option<f64>,
     /// Cut off from the network.
     lost: bool,
+    /// Takes nothing new, as if it were full.
+    turns_away: bool,
     stamp: u64,
     /// Its own proxy to the next tier.
     proxy: Option<usize>,
@@ -135,6 +140,7 @@
     seeds: Xoshiro256PlusPlus,
     done: Vec<Job>,
     tally: Tally,
+    account: harm::Account,
     looked_at: f64,
 }
 
@@ -172,6 +178,10 @@
     }
     let open = world.asks.iter().filter(|a| !a.answered && !a.gone).count() as u64;
     world.tally.wrong_answers += open;
+    let account = std::mem::take(&mut world.account);
+    let place = |host: usize| world.hosts[host].place;
+    world.tally.harm =
+        account.close(&world.figures, |host| world.figures.cold_start(world.hosts[host].tier, place(host)));
     let chokes = world.hosts.iter().map(|h| u64::from(h.machine.chokes())).sum();
     world.tally.close(chokes)
 }
@@ -198,6 +208,7 @@
             named: policy,
             seeds: setup::chance(seed, Stream::Policies),
             done: Vec::new(),
+            account: harm::Account::new(&figures),
             tally: Tally::new(policy.name(), seed, figures.length, figures.shares()),
             looked_at: f64::MIN,
             figures,
@@ -210,14 +221,16 @@
         let mut seeds = self.seeds.clone();
         for (tier, of) in self.figures.tiers.iter().enumerate() {
             let first = self.hosts.len();
-            for place in &of.places {
+            for (n, place) in of.places.iter().enumerate() {
                 self.hosts.push(Host {
                     machine: Machine::new(Kind { speed: place.speed, ..of.kind }),
                     tier,
+                    place: n,
                     zone: place.zone,
                     state: BackendState::Ready,
                     started_at: None,
                     lost: false,
+                    turns_away: false,
                     stamp: 0,
                     proxy: None,
                     told_away: None,
@@ -340,6 +353,8 @@
             return;
         }
         self.looked_at = self.now;
+        let failing = self.hosts.iter().filter(|h| h.lost || !h.machine.works()).count();
+        self.account.failing(failing as f64 * LOOK_MS);
         let whole = self.figures.tiers[0].able();
         let hosts = || self.tiers[0].iter().map(|h| &self.hosts[*h]).filter(|h| !h.lost);
         let able: f64 = hosts().map(|h| h.machine.capacity(self.now)).sum();
--- a/crates/lab/src/sim/setup.rs
+++ b/crates/lab/src/sim/setup.rs
@@ -192,6 +192,8 @@
     pub silent_notice: f64,
     /// Until proxies know of a start.
     pub add_notice: f64,
+    /// How long machines take calls still after proxies know that they drain (ms).
+    pub serves_on: f64,
     /// Until clients are sent past proxies that are gone.
     pub front_notice: f64,
     /// What goes wrong.
@@ -272,6 +274,7 @@
         notice,
         silent_notice: notice,
         add_notice: notice,
+        serves_on: 0.0,
         front_notice: 0.0,
         failures,
     };
@@ -291,6 +294,7 @@
         quota: t.share.draw(rng) * able,
     });
     figures.tenants = tenants.collect();
+    figures.serves_on = scenario.discovery.serves_on.0.draw(rng);
     figures.front_notice = scenario.front.notice.0.draw(rng);
     figures
 }
--- a/crates/lab/src/sim/tally.rs
+++ b/crates/lab/src/sim/tally.rs
@@ -1,6 +1,7 @@
 //! What a run measured. Latency counts from the intended start of a client's first try, so that no wait is left out
 //! (no coordinated omission); a call belongs to the second in which it was to start.
 
+use super::harm::Harm;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
@@ -127,6 +128,9 @@
     pub late_sends: u64,
     /// Final answers beyond the first, and calls that a proxy left without one.
     pub wrong_answers: u64,
+    /// What the proxies did in the sum, where that was counted.
+    #[serde(default)]
+    pub harm: Harm,
     /// Each second.
     pub seconds: Vec<Second>,
     #[serde(skip)]
@@ -174,6 +178,7 @@
             chokes: 0,
             late_sends: 0,
             wrong_answers: 0,
+            harm: Harm::default(),
             seconds: vec![
                 Second { tenants: vec![[0.0; 2]; shares.quotas.len().max(1)], ..Second::default() };
                 seconds
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -28,8 +28,11 @@
 const LEAST_COUNT: f64 = 0.2;
 /// Part of its count a node keeps at a cut.
 const CUT: f64 = 0.75;
-/// The most that one sample weighs in a node's stress: sparse copies must not cut on one failure.
+/// The most that one sample weighs in a node's stress: sparse copies must not cut on one failure ...
 const SAMPLE_MOST: f64 = 0.06;
+/// ... and what it weighs beside that where copies outnumber the backends by far: with a few calls a second each, they
+/// would learn of a crowd only once it has turned the backends slow.
+const SAMPLE_SPARSE: f64 = 0.2;
 /// What a timely finish adds to a count at rest, at least: a part of each round, so that large counts rise
 /// as fast as small ones.
 const RISE: f64 = 0.1;
@@ -84,6 +87,8 @@
 const HEAT_FROM: f64 = 1.5;
 /// ... and from which on a copy is hot for certain.
 const HEAT_SURE: f64 = 2.5;
+/// Standard deviations of a sparse copy's few calls above an even part that are no sign of heat.
+const HEAT_CHANCE: f64 = 2.0;
 /// Copies for each part of heat at the most: where copies are few, each has enough of the traffic that it
 /// learns its own counts well, and crowds the tier by itself.
 const HEAT_COPIES: f64 = 8.0;
@@ -101,6 +106,9 @@
 /// Repeats earned by each request, and the most that can be saved up.
 const RETRY_EARNED: f64 = 0.1;
 const RETRY_SAVED: f64 = 10.0;
+/// What a repeat costs where no connection came about: no server has worked for the attempt before it. Not nothing,
+/// as each new connection has its price.
+const RETRY_UNTAKEN: f64 = 0.2;
 /// The least health of a backend: keeps trials going.
 const HEALTH_FLOOR: f64 = 0.02;
 /// Health under which a backend counts as avoided: two failures in a row, of late.
@@ -172,6 +180,9 @@
 struct Node {
     count: f64,
     first: f64,
+    /// Backends for each copy, one at the most: how much of its own the copy knows. All copies start and rise at once;
+    /// where they outnumber the backends, each by a whole call would be many calls for each backend.
+    grain: f64,
     in_flight: f64,
     used: f64,
     stress: f64,
@@ -181,7 +192,16 @@
 
 impl Node {
     fn new(count: f64) -> Node {
-        Node { count, first: count, in_flight: 0.0, used: 0.0, stress: 0.0, at: f64::MIN, cut_at: f64::MIN }
+        Node {
+            count,
+            first: count,
+            grain: 1.0,
+            in_flight: 0.0,
+            used: 0.0,
+            stress: 0.0,
+            at: f64::MIN,
+            cut_at: f64::MIN,
+        }
     }
 
     /// The tier is larger than was known: what was not learned yet is put right.
@@ -192,9 +212,14 @@
         self.first = self.first.max(first);
     }
 
+    /// Between what is right for a copy with backends enough of its own, and for one of very many.
+    fn by_grain(&self, own: f64, sparse: f64) -> f64 {
+        own.powf(self.grain) * sparse.powf(1.0 - self.grain)
+    }
+
     /// The check of FlowSlot; a part of a call in the count admits one more by that chance.
     fn admits(&self, heat: f64, chance: f64) -> bool {
-        let blind = if self.at == f64::MIN { BLIND } else { 1.0 };
+        let blind = if self.at == f64::MIN { self.by_grain(BLIND, 1.0) } else { 1.0 };
         self.in_flight + 1.0 <= self.count * heat * blind + chance
     }
 
@@ -209,7 +234,8 @@
         if call.sent_at < self.cut_at {
             return false;
         }
-        self.stress += (passed / STRESS_MS).clamp(0.02, SAMPLE_MOST) * (call.stress - self.stress);
+        let weight = SAMPLE_MOST + SAMPLE_SPARSE * (1.0 - self.grain);
+        self.stress += (passed / STRESS_MS).clamp(0.02, weight) * (call.stress - self.stress);
         let most = limit.late.min(limit.crowded);
         if self.stress > most {
             let floor = if self.stress > limit.late { 0.0 } else { CROWDED_LEAST * self.first };
@@ -223,7 +249,10 @@
         if call.stress <= most && self.used >= (IN_USE * room).min(room - 1.0) {
             // Until the first cut the count rises at least twice as fast: nothing is known against it yet.
             let fresh = if self.cut_at == f64::MIN { (self.first / FRESH).clamp(2.0, 10.0) } else { 1.0 };
-            let step = fresh * RISE.max(1.0 / self.count.max(1.0));
+            // A sparse copy rises by a part of its count in the time in which it would learn of a crowd, no sooner.
+            let quick = RISE.max(1.0 / self.count.max(1.0));
+            let slow = RISE * self.count.max(self.grain) * weight;
+            let step = self.by_grain(fresh, 1.0) * self.by_grain(quick, slow.min(quick));
             // A hotter copy has as many more answers in each round, and rises as fast as the others.
             self.count += step / call.heat * call.spare * (1.0 - self.stress / most);
             // An answer that took next to nothing of its time proves room for all that was out with it.
@@ -556,14 +585,16 @@
             return;
         }
         let part = self.backends.len() as f64 / f64::from(self.settings.fleet_size);
-        let start = (START_EACH * part).max(START_SPARSE * part + START_LEAST);
+        let grain = part.min(1.0);
+        let start = (START_EACH * part).max(START_SPARSE * part + START_LEAST * grain * grain);
         if self.tier.count < START_COUNT {
             // The list known at the start may be old, and name but a part of the tier.
             self.tier.grow(start);
             self.classes.iter_mut().for_each(|node| node.grow(start));
         } else {
-            self.tier = Node::new(start);
-            self.classes.iter_mut().for_each(|node| *node = Node::new(start));
+            self.tier = Node { grain, ..Node::new(start) };
+            self.classes.iter_mut().for_each(|node| *node = Node { grain, ..Node::new(start) });
+            self.borrow = Node { grain, ..Node::new(START_BORROW * grain) };
             // A window that began empty would let in a whole window of a tenant's traffic at once.
             for (share, tenant) in self.shares.iter_mut().zip(&self.settings.tenants) {
                 let part = tenant.allowance_per_s / f64::from(self.settings.fleet_size);
@@ -666,7 +697,10 @@
             return false;
         }
         let part = tenant.allowance_per_s / f64::from(self.settings.fleet_size) * SHARE_SLACK;
-        share.read(self.now, SHARE_MS) + 1.0 / self.heat > (part * SHARE_MS / 1000.0).max(1.0)
+        let calls = part * SHARE_MS / 1000.0;
+        // Few calls come as chance has it: room for one standard deviation, or much of a share is never used.
+        let chance = (1.0 - self.tier.grain) * calls.sqrt();
+        share.read(self.now, SHARE_MS) + 1.0 / self.heat > (calls + chance).max(1.0)
     }
 
     /// How many times an even part of the traffic this copy is asked for, at least one: what few calls have
@@ -699,7 +733,9 @@
         let most = usual.map_or(0.0, |(heat, _)| HEAT_OVER * heat);
         let heat: f64 = each.iter().map(|(heat, even)| heat.min(most) * even).sum();
         let asked = Some(heat / all).filter(|asked| asked.is_finite()).unwrap_or(1.0);
-        let certain = (asked - HEAT_FROM) / (HEAT_SURE - HEAT_FROM);
+        // Where an even part is a few calls, chance makes it look like more now and then.
+        let chance = (1.0 - self.tier.grain) * HEAT_CHANCE / all.max(1.0).sqrt();
+        let certain = (asked - HEAT_FROM - chance) / (HEAT_SURE - HEAT_FROM);
         let heat = (1.0 + certain * (HEAT_SURE - 1.0)).min(asked).min(copies / HEAT_COPIES).max(1.0);
         let crowded =
             self.usual.is_known() && self.tier.stress > (self.usual.least * HEAT_CROWD).max(CROWDED_FROM);
@@ -818,12 +854,13 @@
         if ended || held.over {
             return;
         }
+        let price = if end.outcome == Outcome::ConnectFailed { RETRY_UNTAKEN } else { 1.0 };
         if !self.may_repeat(&held, end.outcome) {
             self.give_up(id, &held, Reason::NoRepeat, actions);
-        } else if self.retries < 1.0 {
+        } else if self.retries < price {
             self.give_up(id, &held, Reason::Budget, actions);
         } else {
-            self.retries -= 1.0;
+            self.retries -= price;
             self.try_send(id, held, actions);
         }
     }
