--- a/crates/drill/src/link.rs
+++ b/crates/drill/src/link.rs
@@ -15,7 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-/// Most that is read at once; slow links read less.
+/// Most that is read at once.
 const CHUNK: usize = 16 * 1024;
 /// How often a slow link passes something on.
 const SLOW_STEP: Duration = Duration::from_millis(10);
@@ -78,9 +78,12 @@
 impl Link {
     /// Starts a relay to a target.
     pub fn start(number: usize, target: SocketAddr, callers: Callers) -> Result<Rc<Link>> {
+        let port = Port::take()?;
+        // It takes connections from now on, not from whenever its task first runs.
+        let listener = port.listen()?;
         let link = Rc::new(Link {
             number,
-            port: Port::take()?,
+            port,
             target,
             fault: Cell::default(),
             up: Cell::new(true),
@@ -90,7 +93,7 @@
             callers,
             untaken: RefCell::default(),
         });
-        spawn_local(link.clone().serve());
+        spawn_local(link.clone().serve(listener));
         Ok(link)
     }
 
@@ -172,7 +175,8 @@
         }
     }
 
-    async fn serve(self: Rc<Link>) {
+    async fn serve(self: Rc<Link>, first: TcpListener) {
+        self.clone().accept(first).await;
         loop {
             // The listener of the last state must be closed before the next one: two would share connections.
             if self.is_deaf() {
@@ -248,13 +252,7 @@
     async fn pass(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, forth: bool) -> Result<()> {
         let mut buffer = vec![0; CHUNK];
         loop {
-            let most = if let Fault::Slow(rate) = self.fault.get() {
-                sleep(SLOW_STEP).await;
-                (f64::from(rate) * SLOW_STEP.as_secs_f64()).ceil() as usize
-            } else {
-                CHUNK
-            };
-            let read = from.read(&mut buffer[..most.clamp(1, CHUNK)]).await;
+            let read = from.read(&mut buffer).await;
             // An end and a break are news too, and are held as all else is.
             self.while_so(|link| link.holds(forth)).await;
             if let Fault::Delay(by) = self.fault.get() {
@@ -263,15 +261,33 @@
             }
             match read? {
                 0 => return to.shutdown().await,
-                n => {
-                    to.write_all(&buffer[..n]).await?;
-                    self.count(|p| if forth { p.forth += n as u64 } else { p.back += n as u64 });
-                }
+                n => self.write(&mut to, &buffer[..n], forth).await?,
             }
         }
     }
 }
 
+impl Link {
+    /// Writes what was read, in small pieces where the link is slow.
+    async fn write(&self, to: &mut WriteHalf<'_>, read: &[u8], forth: bool) -> Result<()> {
+        let mut left = read;
+        while !left.is_empty() {
+            let most = match self.fault.get() {
+                Fault::Slow(rate) => {
+                    sleep(SLOW_STEP).await;
+                    (f64::from(rate) * SLOW_STEP.as_secs_f64()).ceil() as usize
+                }
+                _ => left.len(),
+            };
+            let (piece, rest) = left.split_at(most.clamp(1, left.len()));
+            to.write_all(piece).await?;
+            self.count(|p| *(if forth { &mut p.forth } else { &mut p.back }) += piece.len() as u64);
+            left = rest;
+        }
+        Ok(())
+    }
+}
+
 /// Ends a connection by a reset.
 pub fn abort(stream: &TcpStream) {
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
--- a/crates/hillstall/tests/drill/harness.rs
+++ b/crates/hillstall/tests/drill/harness.rs
@@ -16,6 +16,8 @@
 
 /// Drills that run side by side: more would make each other late on four cores.
 const SIDE_BY_SIDE: usize = 4;
+/// Far above anything seen, so that a hang fails.
+pub const PATIENCE: std::time::Duration = std::time::Duration::from_secs(30);
 /// How often a drill is played before a late rig is a failure of its own.
 const PLAYS: usize = 5;
 
--- a/crates/hillstall/tests/drill/main.rs
+++ b/crates/hillstall/tests/drill/main.rs
@@ -205,3 +205,32 @@
     let broken = lied("drill-full", 1, |told| told.allowed.max_attempts = 30);
     broken.breaks(Rule::Attempts);
 }
+
+#[test]
+fn what_a_keeper_started_ends_with_it() {
+    use hillstall_drill::keeper::{Keeper, News, Start};
+    let (tell, news) = std::sync::mpsc::channel();
+    let program = std::path::Path::new(env!("CARGO_BIN_EXE_hillstall"));
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut keeper = Keeper::start(program, &["lab", "keeper"], move |news| {
+        let _ = tell.send(news);
+    })
+    .expect("it starts");
+    let start = |number: usize, program: &str| Start {
+        number,
+        program: program.into(),
+        arguments: vec!["600".into()],
+        environment: Vec::new(),
+        log: folder.path().join("log"),
+    };
+    keeper.run(start(0, "/bin/sleep")).expect("it hears");
+    keeper.run(start(1, "/nowhere/at/all")).expect("it hears");
+    let patience = harness::PATIENCE;
+    let Ok(News::Started { number: 0, pid }) = news.recv_timeout(patience) else { panic!("it runs") };
+    assert!(matches!(news.recv_timeout(patience), Ok(News::Failed { number: 1, .. })), "an error is told");
+    let runs = || std::path::Path::new(&format!("/proc/{pid}")).exists();
+    assert!(runs());
+    // Its input closes, as it does when whoever started it is killed; it ends once its processes have.
+    drop(keeper);
+    assert!(!runs(), "process {pid} is left behind");
+}
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -30,8 +30,8 @@
 const CUT: f64 = 0.75;
 /// The most that one sample weighs in a node's stress: sparse copies must not cut on one failure ...
 const SAMPLE_MOST: f64 = 0.06;
-/// ... and what it weighs beside that where copies outnumber the backends by far: with a few calls a second each, they
-/// would learn of a crowd only once it has turned the backends slow.
+/// ... and what it weighs beside that where copies outnumber the backends by far: with a few calls a second
+/// each, they would learn of a crowd only once it has turned the backends slow.
 const SAMPLE_SPARSE: f64 = 0.2;
 /// What a timely finish adds to a count at rest, at least: a part of each round, so that large counts rise
 /// as fast as small ones.
@@ -106,8 +106,8 @@
 /// Repeats earned by each request, and the most that can be saved up.
 const RETRY_EARNED: f64 = 0.1;
 const RETRY_SAVED: f64 = 10.0;
-/// What a repeat costs where no connection came about: no server has worked for the attempt before it. Not nothing,
-/// as each new connection has its price.
+/// What a repeat costs where no connection came about: no backend has worked for the attempt before it. Not
+/// nothing, as each new connection has its price.
 const RETRY_UNTAKEN: f64 = 0.2;
 /// The least health of a backend: keeps trials going.
 const HEALTH_FLOOR: f64 = 0.02;
@@ -180,8 +180,8 @@
 struct Node {
     count: f64,
     first: f64,
-    /// Backends for each copy, one at the most: how much of its own the copy knows. All copies start and rise at once;
-    /// where they outnumber the backends, each by a whole call would be many calls for each backend.
+    /// Backends for each copy, one at the most: how much of its own the copy knows. All copies start and rise
+    /// at once; where they outnumber the backends, each by a whole call would be many calls a backend.
     grain: f64,
     in_flight: f64,
     used: f64,
@@ -249,7 +249,7 @@
         if call.stress <= most && self.used >= (IN_USE * room).min(room - 1.0) {
             // Until the first cut the count rises at least twice as fast: nothing is known against it yet.
             let fresh = if self.cut_at == f64::MIN { (self.first / FRESH).clamp(2.0, 10.0) } else { 1.0 };
-            // A sparse copy rises by a part of its count in the time in which it would learn of a crowd, no sooner.
+            // A sparse copy rises by a part of its count in the time in which it would learn of a crowd.
             let quick = RISE.max(1.0 / self.count.max(1.0));
             let slow = RISE * self.count.max(self.grain) * weight;
             let step = self.by_grain(fresh, 1.0) * self.by_grain(quick, slow.min(quick));
--- a/crates/module/tests/gate.rs
+++ b/crates/module/tests/gate.rs
@@ -267,11 +267,13 @@
 }
 
 #[test]
-fn the_first_count_is_eight_a_backend_or_for_sparse_copies_five_and_four() {
+fn the_first_count_is_eight_a_backend_with_some_for_chance_where_copies_have_one_of_their_own() {
     // With five a backend a lone copy refused a fifth of a calm day's first seconds; with eight and nothing for
     // chance sparse ones refused their bursts.
     // Before the first answer, twice as many: nothing is known against it yet.
-    for (fleet_size, first) in [(1, 320), (40, 9), (400, 4)] {
+    // What copies without a backend of their own start with is in `sparse.rs`: four calls at each of 400 copies were
+    // forty for each of 40 backends, and all of them turned slow.
+    for (fleet_size, first) in [(1, 320), (40, 9)] {
         let mut p = Proxy::new(Settings { fleet_size, ..settings() }, &backends(40));
         let sent = p.admitted(1_000);
         assert!((2 * first..=2 * first + 2).contains(&sent), "{sent} calls at a copy of {fleet_size}");
--- /dev/null
+++ b/crates/module/tests/sparse.rs
@@ -0,0 +1,101 @@
+//! Many copies before few backends: what all of them let in adds up to what the backends bear.
+
+mod common;
+
+use common::*;
+use hillstall_module::api::*;
+
+const COPIES: u32 = 300;
+const BACKENDS: u32 = 24;
+
+/// All copies of a fleet.
+fn fleet() -> Vec<Proxy> {
+    let copy = |rank| Proxy::new(Settings { rank, fleet_size: COPIES, ..settings() }, &backends(BACKENDS));
+    (0..COPIES).map(copy).collect()
+}
+
+/// Calls for each backend that all copies let in at one moment, each asked for so many.
+fn let_in(fleet: &mut [Proxy], each: usize) -> f64 {
+    let sum: usize = fleet
+        .iter_mut()
+        .map(|p| {
+            let out: Vec<Sent> = (0..each).filter_map(|_| p.ask(0, 0, 4_000.0)).collect();
+            out.iter().for_each(|sent| {
+                p.end(*sent, Outcome::Cancelled);
+            });
+            out.len()
+        })
+        .sum();
+    sum as f64 / f64::from(BACKENDS)
+}
+
+/// Every copy is asked for so many calls, one after another, each answered after a while.
+fn one_by_one(fleet: &mut [Proxy], calls: usize, took: Millis) {
+    for p in fleet {
+        for _ in 0..calls {
+            // Refused ones come again until one is let in.
+            let sent = (0..1_000).find_map(|_| p.ask(0, 0, 4_000.0)).expect("a gate is never shut for good");
+            p.now += took;
+            p.end(sent, Outcome::Ok);
+            p.now += 200.0;
+        }
+    }
+}
+
+#[test]
+fn what_fresh_copies_let_in_adds_up_to_a_few_calls_a_backend() {
+    let sum = let_in(&mut fleet(), 20);
+    assert!((6.0..=16.0).contains(&sum), "{sum:.1} calls for each backend");
+}
+
+#[test]
+fn timely_answers_do_not_raise_the_sum_faster_than_late_ones_can_tell_of_it() {
+    let mut fleet = fleet();
+    one_by_one(&mut fleet, 1, 150.0);
+    let (before, at_most) = (let_in(&mut fleet, 1), let_in(&mut fleet, 20));
+    // Three seconds at three calls a second: all of them in time.
+    one_by_one(&mut fleet, 9, 150.0);
+    let (after, at_most_after) = (let_in(&mut fleet, 1), let_in(&mut fleet, 20));
+    // However often a copy is asked, no second call is let in beside the first.
+    assert!(at_most_after < 1.2 * at_most, "{at_most:.1} calls for each backend, then {at_most_after:.1}");
+    assert!(after > 1.1 * before, "and yet it rises: {before:.1}, {after:.1}");
+}
+
+#[test]
+fn a_sparse_copy_learns_of_a_crowd_from_a_few_answers() {
+    let mut fleet = fleet();
+    one_by_one(&mut fleet, 20, 150.0);
+    let before = let_in(&mut fleet, 1);
+    // Beyond the aim of 1 s; with few calls a second each answer is a second's news.
+    one_by_one(&mut fleet, 4, 1_300.0);
+    let after = let_in(&mut fleet, 1);
+    assert!(after < 0.8 * before, "{before:.1} calls for each backend, {after:.1} after four late answers");
+}
+
+#[test]
+fn copies_with_a_backend_of_their_own_start_as_wide_as_ever() {
+    let mut own = Proxy::new(Settings { fleet_size: 24, ..settings() }, &backends(24));
+    let out = (0..40).filter(|_| own.ask(0, 0, 4_000.0).is_some()).count();
+    // Nine calls, twice of that while nothing was answered, and a part by chance.
+    assert!((18..=19).contains(&out), "{out}");
+}
+
+#[test]
+fn repeats_that_no_server_worked_for_cost_a_fifth_of_the_others() {
+    // Each call's first attempt ends as told, its repeat is served: how many get one before the savings are gone?
+    let repeated = |outcome: Outcome| {
+        let mut p = Proxy::new(settings(), &backends(8));
+        (0..200)
+            .take_while(|_| {
+                let sent = p.ask(0, 0, 4_000.0).expect("room");
+                match p.end(sent, outcome) {
+                    Some(again) => p.end(again, Outcome::Ok).is_none(),
+                    None => false,
+                }
+            })
+            .count()
+    };
+    let (untaken, ran) = (repeated(Outcome::ConnectFailed), repeated(Outcome::Full));
+    assert!((10..=12).contains(&ran), "{ran} repeats after a full server");
+    assert!(untaken > 4 * ran, "{untaken} repeats after a connection that never came about");
+}
