--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -60,9 +60,10 @@
 /// Times the tier's usual stress above which its top gate is cut, where that is below the limit by the aim: a
 /// queue twice as long as usual serves no more, and servers that are held crowded slow down for good.
 const CROWDED: f64 = 1.5;
-/// Part of the tier's count that classes which yield leave to the others: were it given to whoever comes
-/// first, calls of more worth would be refused at a full gate as often as those of less.
-const YIELD_ROOM: f64 = 0.45;
+/// Part of the tier's count that classes which yield leave to the others, in a fleet of very many copies:
+/// were it given to whoever comes first, calls of more worth would be refused at a full gate as often as
+/// those of less. Where copies are few, counts are large, the last room is seldom wanted, and stays empty.
+const YIELD_ROOM: f64 = 0.5;
 /// Part of the patience that others yield for which counts also for a crowded tier.
 const YIELD_CROWD: f64 = 0.5;
 /// Stress below which nothing counts as crowded: where answers take so small a part of the time wanted, a
@@ -92,8 +93,8 @@
 const HEAT_SURE: f64 = 2.5;
 /// Standard deviations of a sparse copy's few calls above an even part that are no sign of heat.
 const HEAT_CHANCE: f64 = 2.0;
-/// Copies for each part of heat at the most: where copies are few, each has enough of the traffic that it
-/// learns its own counts well, and crowds the tier by itself.
+/// Copies for each part of heat at the most, and up to which a fleet is one of few: where copies are few, each
+/// has enough of the traffic that it learns its own counts well, and crowds the tier by itself.
 const HEAT_COPIES: f64 = 8.0;
 /// Times the tier's usual stress above which a rise of the heat is believed little by little ...
 const HEAT_CROWD: f64 = 1.2;
@@ -781,7 +782,8 @@
     /// The gate that is shut to a call, if one is.
     fn shut_to(&mut self, held: &Held) -> Option<Reason> {
         let (heat, u) = (self.heat, self.random());
-        let room = if self.yielding[held.class] { 1.0 - YIELD_ROOM } else { 1.0 };
+        let many = (1.0 - HEAT_COPIES / f64::from(self.settings.fleet_size)).max(0.0);
+        let room = if self.yielding[held.class] { 1.0 - YIELD_ROOM * many } else { 1.0 };
         if held.borrowed && !self.borrow.admits(heat, u) {
             Some(Reason::Borrow)
         } else if !self.tier.admits(heat * room, u) {
