--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -93,7 +93,7 @@
 const HEAT_SURE: f64 = 2.5;
 /// Standard deviations of a sparse copy's few calls above an even part that are no sign of heat.
 const HEAT_CHANCE: f64 = 2.0;
-/// Copies for each part of heat at the most, and up to which a fleet is one of few: where copies are few, each
+/// Copies for each part of heat at the most, and up to which a fleet is small. Where copies are few, each
 /// has enough of the traffic that it learns its own counts well, and crowds the tier by itself.
 const HEAT_COPIES: f64 = 8.0;
 /// Times the tier's usual stress above which a rise of the heat is believed little by little ...
