A tenant without a bound on its share is never over it

Cause: the room for chance in a share is the root of its calls; for a share without a bound, where grain is one, that was zero times infinity, no number, and every call counted as over the share (choice.rs, over_share). Two tests of the real proxy saw it (a flood of connections, an upgrade): 503 where 200 was due.

Change: the root is taken of a bounded number; a test of the module.

--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -700,7 +700,8 @@
         let part = tenant.allowance_per_s / f64::from(self.settings.fleet_size) * SHARE_SLACK;
         let calls = part * SHARE_MS / 1000.0;
         // Few calls come as chance has it: room for one standard deviation, or much of a share is never used.
-        let chance = (1.0 - self.tier.grain) * calls.sqrt();
+        // A share without a bound has none.
+        let chance = (1.0 - self.tier.grain) * calls.min(1e12).sqrt();
         share.read(self.now, SHARE_MS) + 1.0 / self.heat > (calls + chance).max(1.0)
     }
 
--- a/crates/module/tests/sparse.rs
+++ b/crates/module/tests/sparse.rs
@@ -79,3 +79,17 @@
     // Nine calls, twice of that while nothing was answered, and a part by chance.
     assert!((18..=19).contains(&out), "{out}");
 }
+
+#[test]
+fn a_tenant_without_a_bound_is_never_over_its_share() {
+    for fleet_size in [1, BACKENDS] {
+        let tenants = vec![tenant(f64::MAX)];
+        let mut p = Proxy::new(Settings { tenants, fleet_size, ..settings() }, &backends(BACKENDS));
+        for n in 0..50 {
+            let sent =
+                p.ask(0, 0, 4_000.0).unwrap_or_else(|| panic!("call {n} at one of {fleet_size} is refused"));
+            p.now += 100.0;
+            p.end(sent, Outcome::Ok);
+        }
+    }
+}
