Lab and drill share one count of a part, a tier's machines, and one draw

Need: a second reading of the change found the same count of a part of machines or proxies written five times, the numbers of a tier's machines three times, the draw of a number by chance three times, and state in the drill that nothing read (a process's up, a failure's index).

Change: sim::setup has some_of and machines_of, the lab's chance::part is public, and all of them call these.

--- a/crates/drill/src/clients.rs
+++ b/crates/drill/src/clients.rs
@@ -5,11 +5,11 @@
 use crate::http::{Call, Wire};
 use crate::record::{Ended, Try};
 use crate::server::{ask, target, MadeTry};
+use hillstall_lab::chance::part;
 use hillstall_lab::sim::arrivals::{drawn, Arrival, Arrivals};
 use hillstall_lab::sim::setup::{chance, Stream};
 use hillstall_lab::sim::tally;
 use hillstall_module::api::Effect;
-use rand_xoshiro::rand_core::RngCore;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -57,7 +57,7 @@
     }
 
     fn part(&self) -> f64 {
-        (self.chance.borrow_mut().next_u64() >> 11) as f64 / (1u64 << 53) as f64
+        part(&mut self.chance.borrow_mut())
     }
 
     /// Makes all calls of a seed, each at its time; returns once the last has set out.
--- a/crates/drill/src/faults.rs
+++ b/crates/drill/src/faults.rs
@@ -7,7 +7,7 @@
 use crate::list::{unix_ms, Started};
 use crate::record::{Cut as CutSeen, Status};
 use hillstall_lab::scenario::{Between, Mode, What};
-use hillstall_lab::sim::setup::FailureOf;
+use hillstall_lab::sim::setup::{some_of, FailureOf};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,14 +38,14 @@
 
     /// Starts all of them.
     pub fn play(self: &Rc<Faults>) {
-        for (index, failure) in self.fleet.figures.failures.iter().cloned().enumerate() {
+        for failure in self.fleet.figures.failures.iter().cloned() {
             let faults = self.clone();
             spawn_local(async move {
                 let history = faults.fleet.history.clone();
                 sleep_until(history.instant(failure.at)).await;
                 faults.begin(&failure).await;
                 sleep_until(history.instant(failure.at + failure.lasts)).await;
-                faults.end(&failure, index);
+                faults.end(&failure);
             });
         }
     }
@@ -58,21 +58,18 @@
 
     /// The numbers of a tier's servers.
     fn tier(&self, tier: usize) -> std::ops::Range<usize> {
-        let tiers = &self.fleet.figures.tiers;
-        let first: usize = tiers.iter().take(tier).map(|t| t.places.len()).sum();
-        first..first + tiers[tier].places.len()
+        self.fleet.figures.machines_of(tier)
     }
 
     /// The servers that a failure is about, as in simulated time: a part of the tier, from the first on.
     fn meant(&self, failure: &FailureOf) -> Vec<usize> {
         let all = self.tier(failure.tier);
-        let count = ((failure.part * all.len() as f64).round() as usize).clamp(1, all.len());
+        let count = some_of(failure.part, all.len());
         all.take(count).collect()
     }
 
     fn fronts(&self, part: f64) -> Vec<usize> {
-        let all = self.fleet.fronts;
-        (0..((part * all as f64).round() as usize).clamp(1, all)).collect()
+        (0..some_of(part, self.fleet.fronts)).collect()
     }
 
     async fn begin(self: &Rc<Faults>, failure: &FailureOf) {
@@ -112,7 +109,7 @@
         }
     }
 
-    fn end(self: &Rc<Faults>, failure: &FailureOf, _index: usize) {
+    fn end(self: &Rc<Faults>, failure: &FailureOf) {
         match failure.what {
             What::DiscoveryDown => self.fleet.lists.iter().for_each(|list| list.set_down(false)),
             What::Slow => self.tier(failure.tier).for_each(|server| self.fleet.servers[server].slow(1.0)),
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -106,8 +106,6 @@
     pub settings: Settings,
     port: Port,
     folder: PathBuf,
-    /// Whether it takes calls, as far as the rig knows.
-    pub up: Cell<bool>,
     /// Whether its process runs.
     pub runs: Cell<bool>,
 }
@@ -219,11 +217,9 @@
             links.push((ends, link.clone()));
             Ok::<_, NoDrill>(link)
         };
-        let first_of = |tier: usize| figures.tiers.iter().take(tier).map(|t| t.places.len()).sum::<usize>();
         for (process, sketch) in sketches.iter().enumerate() {
-            let first = first_of(sketch.tier);
-            let many = figures.tiers[sketch.tier].places.len();
-            for (server, of) in servers.iter().enumerate().skip(first).take(many) {
+            for server in figures.machines_of(sketch.tier) {
+                let of = &servers[server];
                 let link = link(Ends::Server { process, server }, of.address())?;
                 places.borrow_mut().insert((process, server), link.address());
                 of.is_reached_by(link);
@@ -232,7 +228,7 @@
         let (mut lists, mut lists_at) = (Vec::new(), Vec::new());
         for (tier, of) in figures.tiers.iter().enumerate() {
             let entries = (0..of.places.len()).map(|n| Entry {
-                server: first_of(tier) + n,
+                server: figures.machines_of(tier).start + n,
                 name: format!("s{tier}-{n}"),
                 zone: of.places[n].zone,
                 status: Status::Ready,
@@ -273,7 +269,6 @@
                     settings,
                     port: s.port,
                     folder,
-                    up: Cell::new(false),
                     runs: Cell::new(false),
                 }
             })
@@ -420,7 +415,6 @@
             let seconds = UP_WITHIN.as_secs();
             return Err(NoDrill::NotUp { name: process.name.clone(), seconds, log: log[from..].into() });
         }
-        process.up.set(true);
         if number < self.fronts {
             self.link(Ends::Door { process: number }).set_up(true);
         }
@@ -430,11 +424,9 @@
 
     /// Signals a proxy.
     pub fn signal(&self, number: usize, sign: Sign) -> Result<(), NoDrill> {
-        let process = &self.processes[number];
         match sign {
             Sign::Kill => {
                 self.note(number, Lived::Killed);
-                process.up.set(false);
                 if number < self.fronts {
                     self.link(Ends::Door { process: number }).set_up(false);
                 }
@@ -462,7 +454,6 @@
             News::Ended { number, code, .. } => {
                 let process = &self.processes[number];
                 process.runs.set(false);
-                process.up.set(false);
                 if number < self.fronts {
                     self.link(Ends::Door { process: number }).set_up(false);
                 }
--- a/crates/drill/src/udp.rs
+++ b/crates/drill/src/udp.rs
@@ -2,7 +2,8 @@
 //! datagram that is held is lost. A reset or a refusal means nothing to datagrams: they are lost too.
 
 use crate::link::Fault;
-use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use hillstall_lab::chance::part;
+use rand_xoshiro::rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::cell::{Cell, RefCell};
 use std::io::Result;
@@ -66,7 +67,7 @@
     }
 
     fn loses(&self, forth: bool) -> bool {
-        let by_chance = (self.rng.borrow_mut().next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+        let by_chance = part(&mut self.rng.borrow_mut());
         by_chance < self.loss.get()
             || match self.fault.get() {
                 Fault::Silent | Fault::Reset | Fault::Refuse => true,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod account;
 pub mod callers;
 pub mod calls;
-mod chance;
+pub mod chance;
 pub mod discovery;
 pub mod experiment;
 pub mod model;
--- a/crates/lab/src/sim/failures.rs
+++ b/crates/lab/src/sim/failures.rs
@@ -1,6 +1,7 @@
 //! What goes wrong, and what the proxies learn of it.
 
 use super::queue::{Happening, Step};
+use super::setup::some_of;
 use super::World;
 use crate::scenario::What;
 use hillstall_module::api::{BackendInfo, BackendState, Event, ListKind};
@@ -17,8 +18,7 @@
             return failure.on.clone();
         }
         let all = &self.tiers[failure.tier];
-        let count = ((part * all.len() as f64).round() as usize).clamp(1, all.len());
-        all[..count].to_vec()
+        all[..some_of(part, all.len())].to_vec()
     }
 
     pub(super) fn failure(&mut self, index: usize, begins: bool) {
--- a/crates/lab/src/sim/setup.rs
+++ b/crates/lab/src/sim/setup.rs
@@ -128,11 +128,15 @@
     pub delay: f64,
 }
 
+/// How many a part of so many is, where at least one is meant.
+pub fn some_of(part: f64, all: usize) -> usize {
+    ((part * all as f64).round() as usize).clamp(1, all)
+}
+
 impl Cut {
     /// Whether the links from a proxy are meant that is the `rank`th of so many.
     pub fn is_from(&self, part: f64, (rank, copies): (usize, usize), zone: usize) -> bool {
-        let many = ((part * copies as f64).round() as usize).max(1);
-        rank < many && self.from_zone.is_none_or(|from| from == zone)
+        rank < some_of(part, copies) && self.from_zone.is_none_or(|from| from == zone)
     }
 
     /// Whether the links to a machine of a zone are meant.
@@ -320,6 +324,12 @@
         self.rate * (1.0 + self.swing) * burst * shape / 1e3
     }
 
+    /// The numbers of a tier's machines, counted over all tiers.
+    pub fn machines_of(&self, tier: usize) -> std::ops::Range<usize> {
+        let first: usize = self.tiers.iter().take(tier).map(|t| t.places.len()).sum();
+        first..first + self.tiers[tier].places.len()
+    }
+
     /// Mean work of a call over all tiers, in core milliseconds.
     pub fn mean_work(&self) -> f64 {
         self.mean(|c| c.work)
