Stability map in the lab; a drill whose processes got no processor time says so

The rig now also looks at its own clock each 10 ms and at the run-queue wait of all threads of all processes: an answer that waited in such a stretch is not held against its proxy, and a standstill of over 250 ms voids the drill.

--- a/crates/drill/src/faults.rs
+++ b/crates/drill/src/faults.rs
@@ -87,6 +87,7 @@
                 self.meant(failure).into_iter().for_each(|server| self.fleet.servers[server].drain(true));
             }
             What::Crash => self.meant(failure).into_iter().for_each(|server| self.die(server, false)),
+            What::Lose => self.lose(self.meant(failure)),
             What::LoseZone => self.lose_zone(failure.zone),
             What::Release => self.release(failure),
             What::KillProxies => {
@@ -120,6 +121,7 @@
                 self.meant(failure).into_iter().for_each(|server| self.fleet.servers[server].drain(false));
             }
             What::Crash => self.meant(failure).into_iter().for_each(|server| self.revive(server)),
+            What::Lose => self.give_back(self.meant(failure)),
             What::LoseZone => self.return_zone(failure.zone),
             What::KillProxies => self.fronts(failure.part).into_iter().for_each(|front| self.start(front)),
             What::StopProxies => {
@@ -191,6 +193,32 @@
         }
     }
 
+    /// Servers that are gone from the network, with the proxies that stand beside them.
+    fn lose(self: &Rc<Faults>, servers: Vec<usize>) {
+        self.fleet.set(Fault::Silent, |ends| self.is_about(&servers, ends));
+        servers.into_iter().for_each(|server| self.die(server, true));
+    }
+
+    fn give_back(self: &Rc<Faults>, servers: Vec<usize>) {
+        for (ends, link) in &self.fleet.links {
+            if self.is_about(&servers, *ends) {
+                link.reset();
+                link.set(Fault::None);
+            }
+        }
+        for server in servers {
+            // Until its process listens, connections are refused.
+            self.fleet.servers[server].die(false);
+            self.revive(server);
+        }
+    }
+
+    /// The links to some servers, and those of the proxies beside them.
+    fn is_about(&self, servers: &[usize], ends: Ends) -> bool {
+        let own = servers.iter().any(|s| self.fleet.servers[*s].own_proxy() == Some(ends.process()));
+        own || matches!(ends, Ends::Server { server, .. } if servers.contains(&server))
+    }
+
     fn lose_zone(self: &Rc<Faults>, zone: usize) {
         self.fleet.set(Fault::Silent, |ends| self.of_zone(zone, ends));
         for server in 0..self.fleet.servers.len() {
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -108,6 +108,8 @@
     folder: PathBuf,
     /// Whether its process runs.
     pub runs: Cell<bool>,
+    /// The system's number of its process.
+    pub pid: Cell<Option<u32>>,
 }
 
 impl Process {
@@ -270,6 +272,7 @@
                     port: s.port,
                     folder,
                     runs: Cell::new(false),
+                    pid: Cell::new(None),
                 }
             })
             .collect();
@@ -446,7 +449,7 @@
 
     fn heard(&self, news: News) {
         match news {
-            News::Started { .. } => {}
+            News::Started { number, pid } => self.processes[number].pid.set(Some(pid)),
             News::Failed { number, why } => {
                 eprintln!("{}: {why}", self.processes[number].name);
                 self.processes[number].runs.set(false);
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod list;
 pub mod platform;
 pub mod port;
+pub mod pulse;
 pub mod record;
 pub mod referee;
 pub mod run;
--- a/crates/drill/src/record.rs
+++ b/crates/drill/src/record.rs
@@ -185,6 +185,19 @@
     pub list_calls: u64,
     /// How late each call set out, in milliseconds.
     pub lateness: Vec<f64>,
+    /// Who stood still though it had something to do, as the machine had no time for it.
+    pub stood: Vec<Stood>,
+}
+
+/// Somebody got no processor time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stood {
+    /// A process; or, where none is named, the rig itself with its clients, links and servers.
+    pub process: Option<usize>,
+    /// From.
+    pub from: f64,
+    /// To.
+    pub to: f64,
 }
 
 /// The drill's clock, and what was seen.
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -3,6 +3,7 @@
 use crate::clients::Clients;
 use crate::faults::Faults;
 use crate::fleet::{system, Fleet, Lie, NoDrill, Plan};
+use crate::pulse;
 use crate::record::Seen;
 use crate::referee::{self, Truth, Verdict};
 use hillstall_lab::scenario::Scenario;
@@ -90,6 +91,7 @@
     faults.play();
     let script = options.script.map(|script| spawn_local(script(fleet.clone())));
     let watch = spawn_local(watch(fleet.clone()));
+    let pulse = spawn_local(pulse::watch(fleet.clone()));
     let clients = Clients::new(fleet.clone(), seed);
     clients.play(seed).await;
     let end = Instant::now() + END_WITHIN;
@@ -103,6 +105,7 @@
     // The last answers of tries that were given up are still watched for.
     sleep(SETTLE).await;
     watch.abort();
+    pulse.abort();
     if let Some(script) = script {
         script.abort();
     }
--- a/crates/drill/tests/referee.rs
+++ b/crates/drill/tests/referee.rs
@@ -1,6 +1,7 @@
 //! The referee on histories that are made by hand: each rule kept, and broken by as little as can be.
 
-use hillstall_drill::record::{Cut, Done, Ended, Hop, Life, Lived, Seen, Start, Status, Told, Try};
+use hillstall_drill::pulse::waited_ns;
+use hillstall_drill::record::{Cut, Done, Ended, Hop, Life, Lived, Seen, Start, Status, Stood, Told, Try};
 use hillstall_drill::referee::{judge, late, story, Rule, Server, Truth, Verdict};
 use hillstall_lab::model::cold::ColdStart;
 use hillstall_lab::scenarios;
@@ -181,6 +182,22 @@
     assert_eq!(late(&[1.0, 2.0]), None);
 }
 
+#[test]
+fn a_proxy_that_got_no_processor_time_is_not_blamed_for_a_late_answer_and_a_long_standstill_says_nothing() {
+    let missing = |process, from, to| Seen {
+        tries: vec![a_try("c1-0", BROWSE, 1_700.0, Ended::Unanswered)],
+        stood: vec![Stood { process, from, to }],
+        ..Seen::default()
+    };
+    assert_eq!(broken(&missing(Some(0), 1_100.0, 1_200.0)), []);
+    assert_eq!(broken(&missing(None, 1_100.0, 1_200.0)), []);
+    assert_eq!(broken(&missing(Some(1), 1_100.0, 1_200.0)), [Rule::OneAnswer], "another process stood");
+    assert_eq!(broken(&missing(Some(0), 700.0, 900.0)), [Rule::OneAnswer], "it was over before");
+    assert!(judge(&truth(), &missing(Some(1), 100.0, 400.0)).is_void());
+    assert_eq!(waited_ns("143099519 30604902 305\n"), Some(30_604_902));
+    assert_eq!(waited_ns(""), None);
+}
+
 #[test]
 fn a_story_joins_both_tiers_in_order_of_time() {
     let mut below = a_try("c1-0.7-0", BROWSE, 1_080.0, Ended::Served);
--- a/crates/hillstall/src/lab.rs
+++ b/crates/hillstall/src/lab.rs
@@ -12,6 +12,7 @@
 use hillstall_lab::scenario::Scenario;
 use hillstall_lab::scenarios;
 use hillstall_lab::sim::Tally;
+use hillstall_lab::stability;
 use indicatif::ProgressBar;
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -117,6 +118,27 @@
         #[command(flatten)]
         how: How,
     },
+    /// Map how load and the part of the servers that is lost go together, and whether service returns by itself
+    Stability {
+        /// A file, or a scenario that comes with the program; its first failure is the loss
+        #[arg(default_value = "half-lost")]
+        scenario: String,
+        /// Loads, as parts of what the servers can do
+        #[arg(long, value_delimiter = ',', default_values_t = [0.7, 0.8, 0.9, 1.0, 1.1, 1.2])]
+        loads: Vec<f64>,
+        /// Parts of the servers that are lost
+        #[arg(long, value_delimiter = ',', default_values_t = [0.0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6])]
+        lost: Vec<f64>,
+        /// The policy
+        #[arg(long, default_value = "hillstall")]
+        policy: Named,
+        /// Hold it against runs kept with --json earlier, seed by seed
+        #[arg(long, value_name = "FILE")]
+        beside: Option<PathBuf>,
+        /// How to run and where to write
+        #[command(flatten)]
+        how: How,
+    },
     /// Own the processes of a drill; for the drill alone
     #[command(hide = true)]
     Keeper,
@@ -222,18 +244,35 @@
                 None => Ok(()),
             }
         }
+        Lab::Stability { scenario, loads, lost, policy, beside, how } => {
+            let (name, text) = read(&scenario)?;
+            let earlier = beside.as_deref().map(results).transpose()?;
+            let bar = ProgressBar::new((loads.len() * lost.len()) as u64 * how.seeds);
+            let map = stability::map(&text, (&loads, &lost), policy, &how.seeds(), || bar.inc(1))
+                .map_err(|why| format!("{name}: {why}"))?;
+            bar.finish_and_clear();
+            if let Some(path) = &how.json {
+                write_lines(path, map.cells.iter().flat_map(|cell| &cell.runs))?;
+            }
+            print(&map.table());
+            if let Some(earlier) = earlier {
+                let (table, worse) = map.beside(&earlier);
+                print(&format!("\n{table}\n{worse} cells are worse by more than two points\n"));
+            }
+            match &how.report {
+                Some(path) => {
+                    let page = map.html(&name).map_err(|why| why.to_string())?;
+                    write(path, &page)
+                }
+                None => Ok(()),
+            }
+        }
         Lab::Keeper => {
             hillstall_drill::keeper::serve();
             Ok(())
         }
-        Lab::Report { results, page } => {
-            let text = std::fs::read_to_string(&results).map_err(|e| at(&results, &e))?;
-            let mut tallies: Vec<Tally> = Vec::new();
-            for (i, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
-                let wrong = |e| format!("{}: line {}: {e}", results.display(), i + 1);
-                tallies.push(serde_json::from_str(line).map_err(wrong)?);
-            }
-            write_page(&results.display().to_string(), &page, &report::groups(tallies))
+        Lab::Report { results: path, page } => {
+            write_page(&path.display().to_string(), &page, &report::groups(results(&path)?))
         }
     }
 }
@@ -242,6 +281,16 @@
     format!("{}: {why}", path.display())
 }
 
+/// Results kept with --json.
+fn results(path: &Path) -> Result<Vec<Tally>, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| at(path, &e))?;
+    let lines = text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty());
+    let tally = |(i, line)| {
+        serde_json::from_str(line).map_err(|e| format!("{}: line {}: {e}", path.display(), i + 1))
+    };
+    lines.map(tally).collect()
+}
+
 /// A scenario's name and text.
 fn read(scenario: &str) -> Result<(String, String), String> {
     if let Some(text) = scenarios::text(scenario) {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod servers;
 pub mod sim;
 pub mod site;
+pub mod stability;
 pub mod stand;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -342,6 +342,8 @@
     LoseZone,
     /// A part of a tier's machines die (connections are reset) and start again cold.
     Crash,
+    /// A part of a tier's machines are silent, as if their network were gone, and come back cold.
+    Lose,
     /// A part of a tier's machines are silent for a while and then go on.
     Hang,
     /// A part of a tier's machines turn all new calls away unseen, as if they were full.
--- a/crates/lab/src/sim/failures.rs
+++ b/crates/lab/src/sim/failures.rs
@@ -63,6 +63,16 @@
                     }
                 }
             }
+            What::Lose => {
+                for machine in self.meant(index, part) {
+                    if begins {
+                        self.die(machine, false)
+                    } else {
+                        self.revive(machine)
+                    }
+                    self.hosts[machine].lost = begins;
+                }
+            }
             What::LoseZone => {
                 let machines: Vec<usize> =
                     (0..self.hosts.len()).filter(|h| self.hosts[*h].zone == zone).collect();
--- /dev/null
+++ b/crates/lab/src/stability.rs
@@ -0,0 +1,253 @@
+//! The map of stability: how a load and the part of the servers that is lost go together. A loss is harmless in the end
+//! where service returns by itself soon after its cause has gone; where it does not, load outlives its cause.
+
+use crate::experiment::{grid, Axis, Mean, NoSweep};
+use crate::policy::Named;
+use crate::report::{lines, markdown, page, NoPlot, Points};
+use crate::sim::{self, setup, Second, Tally};
+use rayon::prelude::*;
+
+/// The key of the load.
+const LOAD: &str = "load.of_capacity";
+/// The key of the part that is lost, in the first failure.
+const LOST: &str = "failure.0.part";
+/// Seconds at the start that are no measure of what is usual.
+const WARM: usize = 2;
+/// The part of the service before that counts as returned ...
+const RETURNED: f64 = 0.95;
+/// ... once it is reached over so many seconds on end.
+const OVER: usize = 2;
+/// Points by which a cell may be worse by chance.
+const WORSE: f64 = 2.0;
+
+/// How one run went, by the loss.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Course {
+    /// Service before the loss, as a part.
+    pub before: f64,
+    /// Service while it lasts.
+    pub during: f64,
+    /// Seconds from its end until service is back; `None` if it never is.
+    pub back_after: Option<f64>,
+}
+
+impl Course {
+    /// Of the seconds of a run in which something is lost from a time on and for so long (s).
+    pub fn of(seconds: &[Second], from: f64, lasts: f64) -> Course {
+        let service = |range: std::ops::Range<usize>| {
+            let range = range.start.min(seconds.len())..range.end.min(seconds.len());
+            let sum = |of: fn(&Second) -> f64| seconds[range.clone()].iter().map(of).sum::<f64>();
+            let worth = sum(|s| s.worth);
+            if worth > 0.0 {
+                sum(|s| s.earned) / worth
+            } else {
+                0.0
+            }
+        };
+        let (begins, ends) = (from as usize, (from + lasts).ceil() as usize);
+        // Calls of the last second before it may still be out when it begins.
+        let usual = begins.saturating_sub(1);
+        let before = service(WARM.min(usual)..usual);
+        let back = (ends..(seconds.len() + 1).saturating_sub(OVER))
+            .find(|s| service(*s..s + OVER) >= RETURNED * before);
+        Course { before, during: service(begins..ends), back_after: back.map(|s| (s - ends) as f64) }
+    }
+}
+
+/// Runs with one load and one loss.
+pub struct Cell {
+    /// The load, as a part of what the servers can do.
+    pub load: f64,
+    /// The part of the servers that is lost.
+    pub lost: f64,
+    /// One run for each seed.
+    pub runs: Vec<Tally>,
+    /// How each of them went.
+    pub courses: Vec<Course>,
+}
+
+impl Cell {
+    /// The part of the calls that what is left can serve.
+    pub fn bearable(&self) -> f64 {
+        ((1.0 - self.lost) / self.load).min(1.0)
+    }
+
+    /// A figure's mean over the seeds.
+    fn mean(&self, figure: impl Fn(&Course) -> f64) -> Mean {
+        Mean::of(&self.courses.iter().map(figure).collect::<Vec<_>>())
+    }
+
+    /// How many seeds never came back.
+    pub fn stuck(&self) -> usize {
+        self.courses.iter().filter(|c| c.back_after.is_none()).count()
+    }
+
+    /// The longest return among the seeds that did come back.
+    fn slowest(&self) -> f64 {
+        self.courses.iter().filter_map(|c| c.back_after).fold(0.0, f64::max)
+    }
+
+    fn chokes(&self) -> f64 {
+        self.runs.iter().map(|t| t.chokes as f64).sum::<f64>() / self.runs.len().max(1) as f64
+    }
+
+    fn name(&self) -> String {
+        format!("load={} lost={}", self.load, self.lost)
+    }
+}
+
+/// The map, by load and then by loss.
+pub struct Map {
+    /// The cells; those of one load follow each other.
+    pub cells: Vec<Cell>,
+}
+
+/// Why there is no map.
+#[derive(Debug, thiserror::Error)]
+pub enum NoMap {
+    /// The grid can't be made.
+    #[error(transparent)]
+    Grid(#[from] NoSweep),
+    /// Nothing is lost in the scenario.
+    #[error("failure.0: the scenario has no failure whose part could be varied")]
+    NoFailure,
+}
+
+/// Plays a scenario, whose first failure is the loss, with each load and part lost. `ended` is called after each run.
+pub fn map(
+    text: &str,
+    (loads, lost): (&[f64], &[f64]),
+    policy: Named,
+    seeds: &[u64],
+    ended: impl Fn() + Sync,
+) -> Result<Map, NoMap> {
+    let axis = |key: &str, values: &[f64]| Axis {
+        key: key.to_string(),
+        values: values.iter().map(|v| toml::Value::Float(*v)).collect(),
+    };
+    let scenarios = grid(text, &[axis(LOAD, loads), axis(LOST, lost)])?;
+    if scenarios.iter().any(|(_, scenario)| scenario.failures.is_empty()) {
+        return Err(NoMap::NoFailure);
+    }
+    let jobs: Vec<(usize, u64)> =
+        (0..scenarios.len()).flat_map(|cell| seeds.iter().map(move |seed| (cell, *seed))).collect();
+    let places: Vec<(f64, f64)> =
+        loads.iter().flat_map(|load| lost.iter().map(move |lost| (*load, *lost))).collect();
+    let mut runs: Vec<(Tally, Course)> = (jobs.into_par_iter().with_max_len(1))
+        .map(|(cell, seed)| {
+            let mut scenario = scenarios[cell].1.clone();
+            let loss = setup::draw(&scenario, seed).failures[0].clone();
+            // At least one server is meant by any part: where none is, there is no failure.
+            if places[cell].1 <= 0.0 {
+                scenario.failures.remove(0);
+            }
+            let tally = sim::run(&scenario, policy, seed);
+            ended();
+            let course = Course::of(&tally.seconds, loss.at / 1e3, loss.lasts / 1e3);
+            (tally, course)
+        })
+        .collect();
+    let cells = places.iter().map(|(load, lost)| {
+        let rest = runs.split_off(seeds.len().min(runs.len()));
+        let (runs, courses) = std::mem::replace(&mut runs, rest).into_iter().unzip();
+        let mut cell = Cell { load: *load, lost: *lost, runs, courses };
+        let name = cell.name();
+        cell.runs.iter_mut().for_each(|tally| tally.cell.clone_from(&name));
+        cell
+    });
+    Ok(Map { cells: cells.collect() })
+}
+
+impl Map {
+    fn rows(&self) -> Vec<Vec<String>> {
+        let heading = [
+            "load",
+            "lost",
+            "service before",
+            "during",
+            "of what is left to serve %",
+            "back after s, mean",
+            "longest",
+            "never back",
+            "choked",
+        ];
+        let row = |cell: &Cell| {
+            let during = cell.mean(|c| 100.0 * c.during);
+            let back: Vec<f64> = cell.courses.iter().filter_map(|c| c.back_after).collect();
+            vec![
+                format!("{:.2}", cell.load),
+                format!("{:.2}", cell.lost),
+                format!("{:.1}", cell.mean(|c| 100.0 * c.before).mean),
+                format!("{:.1} ± {:.1}", during.mean, during.half),
+                format!("{:.0}", during.mean / cell.bearable()),
+                format!("{:.1}", Mean::of(&back).mean),
+                format!("{:.0}", cell.slowest()),
+                format!("{} of {}", cell.stuck(), cell.courses.len()),
+                format!("{:.1}", cell.chokes()),
+            ]
+        };
+        let heading = heading.map(String::from).into();
+        std::iter::once(heading).chain(self.cells.iter().map(row)).collect()
+    }
+
+    /// The table for the terminal, in Markdown.
+    pub fn table(&self) -> String {
+        markdown(&self.rows())
+    }
+
+    /// The cells held against the runs of an earlier map, seed by seed: service of the whole run, in points of 100.
+    /// The second part counts the cells that are worse by more than chance allows.
+    pub fn beside(&self, earlier: &[Tally]) -> (String, usize) {
+        let heading = ["load", "lost", "service before the change", "now", "gain", ""].map(String::from);
+        let (mut rows, mut worse) = (vec![heading.to_vec()], 0);
+        for cell in &self.cells {
+            let name = cell.name();
+            let of_seed = |seed: u64| earlier.iter().find(|t| t.cell == name && t.seed == seed);
+            let pairs: Vec<(f64, f64)> = (cell.runs.iter())
+                .filter_map(|now| of_seed(now.seed).map(|then| (100.0 * then.service, 100.0 * now.service)))
+                .collect();
+            if pairs.is_empty() {
+                continue;
+            }
+            let mean = |of: fn(&(f64, f64)) -> f64| Mean::of(&pairs.iter().map(of).collect::<Vec<_>>());
+            let gain = mean(|p| p.1 - p.0);
+            let is_worse = gain.mean < -WORSE;
+            worse += usize::from(is_worse);
+            rows.push(vec![
+                format!("{:.2}", cell.load),
+                format!("{:.2}", cell.lost),
+                format!("{:.1}", mean(|p| p.0).mean),
+                format!("{:.1}", mean(|p| p.1).mean),
+                format!("{:+.1} ± {:.1}", gain.mean, gain.half),
+                if is_worse { "worse" } else { "" }.to_string(),
+            ]);
+        }
+        (markdown(&rows), worse)
+    }
+
+    /// One self-contained page: the table, and the figures over the part that is lost, a curve for each load.
+    pub fn html(&self, title: &str) -> Result<String, NoPlot> {
+        let curves = |figure: &dyn Fn(&Cell) -> f64| {
+            let mut curves: Vec<Points> = Vec::new();
+            for cell in &self.cells {
+                let (name, point) = (format!("load {:.2}", cell.load), (cell.lost, figure(cell)));
+                match curves.iter_mut().find(|(known, _)| *known == name) {
+                    Some((_, points)) => points.push(point),
+                    None => curves.push((name, vec![point])),
+                }
+            }
+            curves
+        };
+        let part = |cell: &Cell| 100.0 * cell.stuck() as f64 / cell.courses.len().max(1) as f64;
+        let during = |cell: &Cell| cell.mean(|c| 100.0 * c.during).mean;
+        let axis = "part of the servers that is lost";
+        let plots = [
+            lines("Service while the loss lasts", axis, "%", &curves(&during))?,
+            lines("... of what is left to serve", axis, "%", &curves(&|c| during(c) / c.bearable()))?,
+            lines("Longest time until service is back", axis, "s", &curves(&Cell::slowest))?,
+            lines("Seeds that never come back", axis, "%", &curves(&part))?,
+            lines("Servers that turned slow", axis, "servers", &curves(&Cell::chokes))?,
+        ];
+        Ok(page(title, &self.rows(), &plots))
+    }
+}
