Counts follow at once the part of the tier that still answers; repeats wait meanwhile

Cause: a count is learned over seconds, a part of the tier is lost in an instant.

Change: crates/storm, called by the module: the part of the tier that answers, by this copy's own silences and the list, scales what counts admit (to the power of 1.2); while less than nine tenths are left, marked repeats find half of a count, a first send needs the time that its answer takes, and counts rise no higher than they were.

--- a/crates/hillstall/tests/drill/harness.rs
+++ b/crates/hillstall/tests/drill/harness.rs
@@ -1,4 +1,4 @@
-//! Plays drills, four at a time at the most, and again where the rig itself was late.
+//! Plays drills, four at a time at the most, and again, alone, where the rig itself was late.
 
 use hillstall_drill::fleet::{Ends, Fleet, Lie};
 use hillstall_drill::link::Passed;
@@ -21,23 +21,37 @@
 /// How often a drill is played before a late rig is a failure of its own.
 const PLAYS: usize = 5;
 
-static RUNNING: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+/// How many run, and how many wait for the machine to themselves.
+struct Busy {
+    running: usize,
+    wanted: usize,
+}
+
+static BUSY: (Mutex<Busy>, Condvar) = (Mutex::new(Busy { running: 0, wanted: 0 }), Condvar::new());
 
-struct Turn;
+struct Turn(usize);
 
 impl Turn {
-    fn take() -> Turn {
-        let running = RUNNING.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let free = RUNNING.1.wait_while(running, |running| *running >= SIDE_BY_SIDE);
-        *free.unwrap_or_else(PoisonError::into_inner) += 1;
-        Turn
+    /// One place of those side by side; or all of them, once the machine had too little time for that.
+    fn take(alone: bool) -> Turn {
+        let mut busy = BUSY.0.lock().unwrap_or_else(PoisonError::into_inner);
+        busy.wanted += usize::from(alone);
+        let waits = |busy: &mut Busy| match alone {
+            true => busy.running > 0,
+            false => busy.running >= SIDE_BY_SIDE || busy.wanted > 0,
+        };
+        let mut free = BUSY.1.wait_while(busy, waits).unwrap_or_else(PoisonError::into_inner);
+        let places = if alone { SIDE_BY_SIDE } else { 1 };
+        free.wanted -= usize::from(alone);
+        free.running += places;
+        Turn(places)
     }
 }
 
 impl Drop for Turn {
     fn drop(&mut self) {
-        *RUNNING.0.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
-        RUNNING.1.notify_one();
+        BUSY.0.lock().unwrap_or_else(PoisonError::into_inner).running -= self.0;
+        BUSY.1.notify_all();
     }
 }
 
@@ -61,8 +75,8 @@
     let scenario = scenarios::find(name).expect("embedded");
     let program = Path::new(env!("CARGO_BIN_EXE_hillstall"));
     let mut why = String::new();
-    for _ in 0..PLAYS {
-        let _turn = Turn::take();
+    for play in 0..PLAYS {
+        let _turn = Turn::take(play > 0);
         let drilled = hillstall_drill::run(program, &scenario, seed, options()).expect("it can be played");
         assert!(drilled.processes >= 6, "a fleet is more than {} processes", drilled.processes);
         match &drilled.verdict {
--- a/crates/hillstall/tests/drill/main.rs
+++ b/crates/hillstall/tests/drill/main.rs
@@ -8,6 +8,7 @@
 use hillstall_drill::record::{Done, Ended, Life, Lived, Status};
 use hillstall_drill::referee::{self, Rule};
 use hillstall_drill::Options;
+use hillstall_lab::stability::Course;
 use hillstall_module::api::Effect;
 use std::rc::Rc;
 
@@ -186,6 +187,26 @@
     broken.breaks(Rule::Attempts);
 }
 
+#[test]
+fn half_of_the_boxes_are_lost_for_eight_seconds_and_the_rest_do_not_tip() {
+    let kept = drill("drill-half", 1);
+    kept.keeps_the_rules();
+    let course = |p: &harness::Played| Course::of(&p.0.tally.seconds, 4.0, 8.0);
+    // Half is left for a load of 85 in 100.
+    let part = |course: Course| course.during / (0.5 / 0.85);
+    let killed = kept.0.seen.lives.iter().filter(|l| l.what == Lived::Killed).count();
+    assert_eq!(killed, 3, "the proxies beside three boxes are gone with them");
+    // Told that a minute is in time for everybody, no front ever turns a call away for the others' sake.
+    let off = lied("drill-half", 1, |told| {
+        told.classes.iter_mut().for_each(|class| class.aim_ms = 60_000.0);
+    });
+    say("% served of what is left to serve", 100.0 * part(course(&kept)), 100.0 * part(course(&off)));
+    assert_eq!(kept.0.tally.chokes, 0, "a box that is left turned slow");
+    assert!(part(course(&kept)) >= 0.9, "{:?}", course(&kept));
+    assert!(course(&kept).back_after.is_some_and(|after| after <= 8.0), "{:?}", course(&kept));
+    assert!(part(course(&off)) < 0.75, "gates are of no use: {:?}", course(&off));
+}
+
 #[test]
 fn what_a_keeper_started_ends_with_it() {
     use hillstall_drill::keeper::{Keeper, News, Start};
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -6,6 +6,7 @@
 //! weighted by rating, warmth, feedback and load. Where it departs from this, the comment says when.
 
 use crate::api::*;
+use hillstall_storm::room::Room;
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::FxHashMap;
@@ -112,6 +113,8 @@
 const RETRY_SAVED: f64 = 10.0;
 /// The least health of a backend: keeps trials going.
 const HEALTH_FLOOR: f64 = 0.02;
+/// Health from which a backend counts as one that answers, though it was silent: after some two seconds.
+const ANSWERS: f64 = 0.5;
 /// Health under which a backend counts as avoided: two failures in a row, of late.
 const SHUNNED: f64 = 0.25;
 /// Milliseconds in which an untried backend's health comes back, after one failure; doubles with each more.
@@ -181,6 +184,8 @@
 struct Node {
     count: f64,
     first: f64,
+    /// The count when the tier was last whole: while it is short, timely answers of few calls justify no more.
+    whole: f64,
     /// Backends for each copy, one at the most: how much of its own the copy knows. All copies start and rise
     /// at once; where they outnumber the backends, each by a whole call would be many calls a backend.
     grain: f64,
@@ -196,6 +201,7 @@
         Node {
             count,
             first: count,
+            whole: count,
             grain: 1.0,
             in_flight: 0.0,
             used: 0.0,
@@ -261,6 +267,11 @@
                 self.count = self.count.max((self.used + 1.0) / call.heat);
             }
         }
+        if call.short {
+            self.count = self.count.min(self.whole.max(self.first));
+        } else {
+            self.whole = self.count;
+        }
         false
     }
 }
@@ -405,6 +416,8 @@
     stress: f64,
     spare: f64,
     heat: f64,
+    /// Whether the tier is short of room.
+    short: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -418,6 +431,7 @@
     tenant: usize,
     hint: f64,
     borrowed: bool,
+    repeat: bool,
     give_up_at: Millis,
     attempts: u32,
     out: Option<Attempt>,
@@ -453,6 +467,8 @@
     /// See `feel_heat`.
     heat: f64,
     heat_at: Millis,
+    /// The part of the tier that still answers: what the counts admit follows it at once.
+    room: Room,
     /// When the first request came.
     asked_from: Option<Millis>,
     asked: Vec<Fading>,
@@ -485,6 +501,7 @@
             demand: (0..tenants).map(|_| Fading::default()).collect(),
             heat: 1.0,
             heat_at: f64::MIN,
+            room: Room::default(),
             asked_from: None,
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             part: 1.0,
@@ -527,7 +544,7 @@
                 let demand = self.demand.get_mut(usize::from(tenant)).filter(|_| !repeat);
                 demand.into_iter().for_each(|demand| demand.add(now, DEMAND_MS, 1.0));
                 self.feel_heat();
-                self.on_request(id, class.into(), tenant.into(), hint_ms, ttl_ms, actions);
+                self.on_request(id, class.into(), tenant.into(), hint_ms, (ttl_ms, repeat), actions);
             }
             Event::Outcome { request, outcome, took_ms, ended, report, .. } => {
                 let end = End { outcome, took: took_ms, spare: self.spare(&report) };
@@ -659,7 +676,7 @@
         class: usize,
         tenant: usize,
         hint: Option<Millis>,
-        ttl: Millis,
+        (ttl, repeat): (Millis, bool),
         actions: &mut Vec<Action>,
     ) {
         self.retries = (self.retries + RETRY_EARNED).min(RETRY_SAVED);
@@ -677,6 +694,7 @@
             tenant,
             hint: hint.filter(|h| *h > 0.0 && h.is_finite()).unwrap_or(0.0),
             borrowed: self.over_share(tenant),
+            repeat,
             give_up_at: self.now + ttl.max(0.0),
             attempts: 0,
             out: None,
@@ -716,6 +734,11 @@
         }
         let passed = (self.now - self.heat_at).min(HEAT_SLOW);
         self.heat_at = self.now;
+        let (now, rules) = (self.now, &self.settings.rules);
+        // One that answers, if only to turn calls away, is not lost.
+        let heard = |b: &&Backend| b.health.read(now) >= ANSWERS || b.answered_at >= b.health.judged_at;
+        let sound = self.backends.iter().filter(heard);
+        self.room.look(now, sound.map(|b| b.rating() * b.warmth(now, rules) * b.stays(now, rules)).sum());
         // What a window that began empty holds by now of a steady rate.
         let asked = self.now - *self.asked_from.get_or_insert(self.now);
         let window = DEMAND_MS * (1.0 - (-asked.max(DEMAND_LEAST) / DEMAND_MS).exp());
@@ -750,6 +773,7 @@
     fn try_send(&mut self, id: RequestId, mut held: Held, actions: &mut Vec<Action>) {
         let left = held.give_up_at - self.now;
         let allowed = held.attempts < self.settings.allowed.max_attempts && left > self.settings.tick_ms;
+        let allowed = allowed && (held.attempts > 0 || self.room.is_in_time(left, self.expected(&held)));
         let shut = if allowed { self.shut_to(&held) } else { Some(Reason::Spent) };
         let picked = shut.map_or_else(|| self.pick(&held).ok_or(Reason::NoBackend), Err);
         let i = match picked {
@@ -782,7 +806,7 @@
 
     /// The gate that is shut to a call, if one is.
     fn shut_to(&mut self, held: &Held) -> Option<Reason> {
-        let (heat, u) = (self.heat, self.random());
+        let (heat, u) = (self.heat * self.room.scale() * self.room.open_to(held.repeat), self.random());
         let many = (1.0 - HEAT_COPIES / f64::from(self.settings.fleet_size)).max(0.0);
         let room = if self.yielding[held.class] { 1.0 - YIELD_ROOM * many } else { 1.0 };
         if held.borrowed && !self.borrow.admits(heat, u) {
@@ -924,8 +948,11 @@
         if outcome == Outcome::Cancelled || outcome == Outcome::Moot {
             // A client that left: late for it. More would shut the gate where an idle tier is too slow.
             if held.over && self.settings.stage == 0 {
-                let (sent_at, heat) = (attempt.sent_at, self.heat);
-                self.learn_counts(Sample { sent_at, stress: 1.0, spare: 0.0, heat }, out);
+                let (sent_at, heat) = (attempt.sent_at, self.heat * self.room.scale());
+                self.learn_counts(
+                    Sample { sent_at, stress: 1.0, spare: 0.0, heat, short: self.room.is_short() },
+                    out,
+                );
             }
             return;
         }
@@ -933,8 +960,8 @@
         // connection that did not come about, as while a zone is cut off.
         if ok || (sound && outcome != Outcome::ConnectFailed) {
             let stress = if ok { took / aim } else { FAILED_STRESS.max(took / aim) };
-            let (sent_at, heat) = (attempt.sent_at, self.heat);
-            self.learn_counts(Sample { sent_at, stress, spare, heat }, out);
+            let (sent_at, heat) = (attempt.sent_at, self.heat * self.room.scale());
+            self.learn_counts(Sample { sent_at, stress, spare, heat, short: self.room.is_short() }, out);
         }
     }
 
--- /dev/null
+++ b/crates/storm/src/room.rs
@@ -0,0 +1,80 @@
+//! The part of a tier that still answers, and what a copy does while it is short of room.
+//!
+//! What a copy may keep in flight is learned over seconds, while a part of the tier is lost in one instant. A count that
+//! was right for all servers then crowds those that are left, long before late answers have cut it; and once cut, it is
+//! too small for the servers that come back. So a count is kept for the tier as it was when whole, and what it admits
+//! goes by the room of the servers that answer now.
+
+use crate::Millis;
+
+/// Milliseconds over which a larger tier is forgotten.
+const FORGET_MS: Millis = 60_000.0;
+/// How steeply the counts go by the part that answers: over 1, so that what is left holds fewer calls each than before.
+/// There are always more calls than it can serve, so that a queue gains nothing, and crowded servers turn slow for good.
+const STEEP: f64 = 1.2;
+/// What is left of the counts under which the tier is short of room.
+const SHORT: f64 = 0.9;
+/// Part of a count that is open to repeats while the tier is short: a first try has all of its time before it.
+const FOR_REPEATS: f64 = 0.5;
+
+/// The room that answers now, against the most of it that there was of late.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Room {
+    most: f64,
+    at: Millis,
+    part: f64,
+}
+
+impl Default for Room {
+    fn default() -> Room {
+        Room { most: 0.0, at: 0.0, part: 1.0 }
+    }
+}
+
+impl Room {
+    /// Takes the room of the servers that answer at `now`, in any unit. Where nothing is known, or nothing answers at
+    /// all, the tier counts as whole: one that is silent as a whole gains nothing by fewer trials.
+    pub fn look(&mut self, now: Millis, answers: f64) {
+        let answers = if answers.is_finite() { answers.max(0.0) } else { 0.0 };
+        let passed = (now - self.at).max(0.0);
+        self.at = self.at.max(now);
+        if answers <= 0.0 {
+            self.part = 1.0;
+            return;
+        }
+        let faded = answers + (self.most - answers) * (-passed / FORGET_MS).exp();
+        self.most = faded.max(answers);
+        self.part = answers / self.most;
+    }
+
+    /// The part of the tier that answers, over 0 and at most 1.
+    pub fn part(&self) -> f64 {
+        self.part
+    }
+
+    /// By how much the counts admit less.
+    pub fn scale(&self) -> f64 {
+        self.part.powf(STEEP)
+    }
+
+    /// Whether the tier is short of room: meanwhile counts rise no higher than they were, as timely answers of few calls
+    /// justify nothing for the time when all servers are back.
+    pub fn is_short(&self) -> bool {
+        self.scale() < SHORT
+    }
+
+    /// The part of a count that is open to a call.
+    pub fn open_to(&self, repeat: bool) -> f64 {
+        if repeat && self.is_short() {
+            FOR_REPEATS
+        } else {
+            1.0
+        }
+    }
+
+    /// Whether a call whose answer is expected after some time may be sent with so much time left: while the tier is
+    /// short, one that would hardly end in time takes the place of one that will.
+    pub fn is_in_time(&self, left: Millis, expected: Millis) -> bool {
+        !self.is_short() || left > expected
+    }
+}
