--- a/crates/module/src/api.rs
+++ b/crates/module/src/api.rs
@@ -363,7 +363,7 @@
         tenant: u16,
         /// Expected work, where the caller knows it.
         hint_ms: Option<Millis>,
-        /// A client's repeat, where clients mark them. No decision reads it.
+        /// A client's repeat, where clients mark them: it makes no heat, and waits while the tier is short of room.
         repeat: bool,
         /// It writes. No decision reads it.
         write: bool,
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -184,7 +184,7 @@
 struct Node {
     count: f64,
     first: f64,
-    /// The count when the tier was last whole: while it is short, timely answers of few calls justify no more.
+    /// The count when the tier was last whole: while it is short, a few timely answers justify no more.
     whole: f64,
     /// Backends for each copy, one at the most: how much of its own the copy knows. All copies start and rise
     /// at once; where they outnumber the backends, each by a whole call would be many calls a backend.
--- a/crates/storm/src/room.rs
+++ b/crates/storm/src/room.rs
@@ -44,7 +44,8 @@
         }
         let faded = answers + (self.most - answers) * (-passed / FORGET_MS).exp();
         self.most = faded.max(answers);
-        self.part = answers / self.most;
+        // So small a part that it is none in this number is still one.
+        self.part = (answers / self.most).max(f64::MIN_POSITIVE);
     }
 
     /// The part of the tier that answers, over 0 and at most 1.
