--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -267,10 +267,9 @@
                 self.count = self.count.max((self.used + 1.0) / call.heat);
             }
         }
-        if call.short {
-            self.count = self.count.min(self.whole.max(self.first));
-        } else {
-            self.whole = self.count;
+        match call.rise {
+            Some(times) => self.count = self.count.min(self.whole.max(self.first) * times),
+            None => self.whole = self.count,
         }
         false
     }
@@ -416,8 +415,8 @@
     stress: f64,
     spare: f64,
     heat: f64,
-    /// Whether the tier is short of room.
-    short: bool,
+    /// How many times what it was a count may rise to, while the tier is short of room.
+    rise: Option<f64>,
 }
 
 #[derive(Clone, Copy)]
@@ -950,7 +949,7 @@
             if held.over && self.settings.stage == 0 {
                 let (sent_at, heat) = (attempt.sent_at, self.heat * self.room.scale());
                 self.learn_counts(
-                    Sample { sent_at, stress: 1.0, spare: 0.0, heat, short: self.room.is_short() },
+                    Sample { sent_at, stress: 1.0, spare: 0.0, heat, rise: self.room.rise() },
                     out,
                 );
             }
@@ -961,7 +960,7 @@
         if ok || (sound && outcome != Outcome::ConnectFailed) {
             let stress = if ok { took / aim } else { FAILED_STRESS.max(took / aim) };
             let (sent_at, heat) = (attempt.sent_at, self.heat * self.room.scale());
-            self.learn_counts(Sample { sent_at, stress, spare, heat, short: self.room.is_short() }, out);
+            self.learn_counts(Sample { sent_at, stress, spare, heat, rise: self.room.rise() }, out);
         }
     }
 
--- a/crates/storm/src/room.rs
+++ b/crates/storm/src/room.rs
@@ -58,12 +58,17 @@
         self.part.powf(STEEP)
     }
 
-    /// Whether the tier is short of room: meanwhile counts rise no higher than they were, as timely answers of few calls
-    /// justify nothing for the time when all servers are back.
+    /// Whether the tier is short of room.
     pub fn is_short(&self) -> bool {
         self.scale() < SHORT
     }
 
+    /// How many times what it was when the tier was whole a count may rise to, while that is short: what is left may hold
+    /// somewhat more than it did, but timely answers of few calls justify little for the time when all servers are back.
+    pub fn rise(&self) -> Option<f64> {
+        self.is_short().then_some(2.0 - self.part)
+    }
+
     /// The part of a count that is open to a call.
     pub fn open_to(&self, repeat: bool) -> f64 {
         if repeat && self.is_short() {
