One way to run cells with seeds, draw curves by load and give results out

account and stability each had their own; runs over policies were a third. experiment::by_cell, report::by_load and the lab command's give_out serve them.

--- a/crates/hillstall/src/lab.rs
+++ b/crates/hillstall/src/lab.rs
@@ -232,17 +232,8 @@
             let account = account::account(&text, &loads, &copies, &how.seeds(), || bar.inc(1))
                 .map_err(|why| format!("{name}: {why}"))?;
             bar.finish_and_clear();
-            if let Some(path) = &how.json {
-                write_lines(path, account.cells.iter().flat_map(|cell| &cell.runs))?;
-            }
-            print(&account.table());
-            match &how.report {
-                Some(path) => {
-                    let page = account.html(&name).map_err(|why| why.to_string())?;
-                    write(path, &page)
-                }
-                None => Ok(()),
-            }
+            let runs = account.cells.iter().flat_map(|cell| &cell.runs);
+            give_out(runs, &account.table(), || account.html(&name), &how)
         }
         Lab::Stability { scenario, loads, lost, policy, beside, how } => {
             let (name, text) = read(&scenario)?;
@@ -251,21 +242,12 @@
             let map = stability::map(&text, (&loads, &lost), policy, &how.seeds(), || bar.inc(1))
                 .map_err(|why| format!("{name}: {why}"))?;
             bar.finish_and_clear();
-            if let Some(path) = &how.json {
-                write_lines(path, map.cells.iter().flat_map(|cell| &cell.runs))?;
-            }
-            print(&map.table());
+            let mut text = map.table();
             if let Some(earlier) = earlier {
                 let (table, worse) = map.beside(&earlier);
-                print(&format!("\n{table}\n{worse} cells are worse by more than two points\n"));
-            }
-            match &how.report {
-                Some(path) => {
-                    let page = map.html(&name).map_err(|why| why.to_string())?;
-                    write(path, &page)
-                }
-                None => Ok(()),
+                text += &format!("\n{table}\n{worse} cells are worse by more than two points\n");
             }
+            give_out(map.cells.iter().flat_map(|cell| &cell.runs), &text, || map.html(&name), &how)
         }
         Lab::Keeper => {
             hillstall_drill::keeper::serve();
@@ -358,6 +340,23 @@
     }
 }
 
+/// Writes runs and page where they are wanted, and prints the text.
+fn give_out<'a>(
+    runs: impl IntoIterator<Item = &'a Tally>,
+    text: &str,
+    page: impl FnOnce() -> Result<String, report::NoPlot>,
+    how: &How,
+) -> Result<(), String> {
+    if let Some(path) = &how.json {
+        write_lines(path, runs)?;
+    }
+    print(text);
+    match &how.report {
+        Some(path) => write(path, &page().map_err(|why| why.to_string())?),
+        None => Ok(()),
+    }
+}
+
 /// Writes each run as a JSON line.
 pub(crate) fn write_lines<'a>(
     path: &Path,
--- a/crates/lab/src/account.rs
+++ b/crates/lab/src/account.rs
@@ -2,16 +2,13 @@
 //! What a copy does is harmless alone; what counts is the *fleet ratio*, service with so many copies over service with
 //! one that carries it all.
 
-use crate::experiment::{grid, Axis, Mean, NoSweep};
+use crate::experiment::{by_cell, grid, Axis, Mean, NoSweep, LOAD};
 use crate::policy::Named;
-use crate::report::{lines, markdown, page, NoPlot, Points};
+use crate::report::{by_load, lines, markdown, page, NoPlot};
 use crate::sim::{self, Tally};
-use rayon::prelude::*;
 
 /// The key of the number of copies.
 const COPIES: &str = "proxies";
-/// The key of the load.
-const LOAD: &str = "load.of_capacity";
 
 /// Runs of one load with one number of copies.
 pub struct Cell {
@@ -37,27 +34,16 @@
     seeds: &[u64],
     ended: impl Fn() + Sync,
 ) -> Result<Account, NoSweep> {
-    let axis = |key: &str, values: Vec<toml::Value>| Axis { key: key.to_string(), values };
-    let axes = [
-        axis(LOAD, loads.iter().map(|l| toml::Value::Float(*l)).collect()),
-        axis(COPIES, copies.iter().map(|n| toml::Value::Integer(i64::from(*n))).collect()),
-    ];
+    let numbers = copies.iter().map(|n| toml::Value::Integer(i64::from(*n))).collect();
+    let axes = [Axis::of_numbers(LOAD, loads), Axis { key: COPIES.to_string(), values: numbers }];
     let scenarios = grid(text, &axes)?;
     let places = loads.iter().flat_map(|load| copies.iter().map(move |copies| (*load, *copies)));
-    let jobs: Vec<(usize, u64)> =
-        (0..scenarios.len()).flat_map(|cell| seeds.iter().map(move |seed| (cell, *seed))).collect();
-    // The longest runs are those with most copies: one at a time from a common list, so that no core waits.
-    let mut runs: Vec<Tally> = (jobs.into_par_iter().with_max_len(1))
-        .map(|(cell, seed)| {
-            let tally = sim::run(&scenarios[cell].1, Named::Hillstall, seed);
-            ended();
-            tally
-        })
-        .collect();
-    let cells = places.map(|(load, copies)| {
-        let rest = runs.split_off(seeds.len().min(runs.len()));
-        Cell { load, copies, runs: std::mem::replace(&mut runs, rest) }
+    let runs = by_cell(&scenarios, seeds, |(_, scenario), seed| {
+        let tally = sim::run(scenario, Named::Hillstall, seed);
+        ended();
+        tally
     });
+    let cells = places.zip(runs).map(|((load, copies), runs)| Cell { load, copies, runs });
     Ok(Account { cells: cells.collect() })
 }
 
@@ -124,16 +110,7 @@
     /// One self-contained page: the table, and the figures over the number of copies, a curve for each load.
     pub fn html(&self, title: &str) -> Result<String, NoPlot> {
         let curves = |figure: &dyn Fn(&Cell) -> f64| {
-            let mut curves: Vec<Points> = Vec::new();
-            for cell in &self.cells {
-                let (name, point) =
-                    (format!("load {:.2}", cell.load), (f64::from(cell.copies), figure(cell)));
-                match curves.iter_mut().find(|(known, _)| *known == name) {
-                    Some((_, points)) => points.push(point),
-                    None => curves.push((name, vec![point])),
-                }
-            }
-            curves
+            by_load(self.cells.iter().map(|cell| (cell.load, (f64::from(cell.copies), figure(cell)))))
         };
         let mean = |figure: fn(&Tally) -> f64| {
             move |cell: &Cell| cell.runs.iter().map(figure).sum::<f64>() / cell.runs.len().max(1) as f64
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -23,9 +23,21 @@
 }
 
 fn each(policies: &[Named], seeds: &[u64], run: impl Fn(Named, u64) -> Tally + Sync) -> Vec<Tally> {
-    let pairs: Vec<(Named, u64)> =
-        policies.iter().flat_map(|policy| seeds.iter().map(|seed| (*policy, *seed))).collect();
-    pairs.into_par_iter().map(|(policy, seed)| run(policy, seed)).collect()
+    by_cell(policies, seeds, |policy, seed| run(*policy, seed)).into_iter().flatten().collect()
+}
+
+/// Runs each cell with each seed, on all cores; the results by cell, and in each in the order of the seeds.
+pub(crate) fn by_cell<C: Sync, T: Send>(
+    cells: &[C],
+    seeds: &[u64],
+    run: impl Fn(&C, u64) -> T + Sync,
+) -> Vec<Vec<T>> {
+    let jobs: Vec<(&C, u64)> =
+        cells.iter().flat_map(|cell| seeds.iter().map(move |seed| (cell, *seed))).collect();
+    // Runs differ much in length: one at a time from a common list, so that no core waits.
+    let results: Vec<T> = jobs.into_par_iter().with_max_len(1).map(|(cell, seed)| run(cell, seed)).collect();
+    let mut results = results.into_iter();
+    cells.iter().map(|_| results.by_ref().take(seeds.len()).collect()).collect()
 }
 
 /// A mean, and how far off it may be at 95% confidence.
@@ -62,6 +74,9 @@
     Mean::of(&differences)
 }
 
+/// The key of the load, as a part of what the servers can do.
+pub(crate) const LOAD: &str = "load.of_capacity";
+
 /// A key of a scenario and the values it takes in a sweep.
 #[derive(Clone, Debug)]
 pub struct Axis {
@@ -71,6 +86,13 @@
     pub values: Vec<toml::Value>,
 }
 
+impl Axis {
+    /// One of numbers.
+    pub(crate) fn of_numbers(key: &str, values: &[f64]) -> Axis {
+        Axis { key: key.to_string(), values: values.iter().map(|v| toml::Value::Float(*v)).collect() }
+    }
+}
+
 impl std::str::FromStr for Axis {
     type Err = String;
 
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -88,6 +88,19 @@
 /// A curve: its name, and its points.
 pub(crate) type Points = (String, Vec<(f64, f64)>);
 
+/// The points of cells as curves, one for each load, in the order in which the loads come.
+pub(crate) fn by_load(points: impl Iterator<Item = (f64, (f64, f64))>) -> Vec<Points> {
+    let mut curves: Vec<Points> = Vec::new();
+    for (load, point) in points {
+        let name = format!("load {load:.2}");
+        match curves.iter_mut().find(|(known, _)| *known == name) {
+            Some((_, points)) => points.push(point),
+            None => curves.push((name, vec![point])),
+        }
+    }
+    curves
+}
+
 /// A plot of curves over any axis.
 pub(crate) fn lines(title: &str, axis: &str, unit: &str, curves: &[Points]) -> Result<String, NoPlot> {
     let wrong = |why: &dyn std::fmt::Display| NoPlot(why.to_string());
--- a/crates/lab/src/stability.rs
+++ b/crates/lab/src/stability.rs
@@ -1,14 +1,11 @@
 //! The map of stability: how a load and the part of the servers that is lost go together. A loss is harmless in the end
 //! where service returns by itself soon after its cause has gone; where it does not, load outlives its cause.
 
-use crate::experiment::{grid, Axis, Mean, NoSweep};
+use crate::experiment::{by_cell, grid, Axis, Mean, NoSweep, LOAD};
 use crate::policy::Named;
-use crate::report::{lines, markdown, page, NoPlot, Points};
+use crate::report::{by_load, lines, markdown, page, NoPlot};
 use crate::sim::{self, setup, Second, Tally};
-use rayon::prelude::*;
 
-/// The key of the load.
-const LOAD: &str = "load.of_capacity";
 /// The key of the part that is lost, in the first failure.
 const LOST: &str = "failure.0.part";
 /// Seconds at the start that are no measure of what is usual.
@@ -121,35 +118,26 @@
     seeds: &[u64],
     ended: impl Fn() + Sync,
 ) -> Result<Map, NoMap> {
-    let axis = |key: &str, values: &[f64]| Axis {
-        key: key.to_string(),
-        values: values.iter().map(|v| toml::Value::Float(*v)).collect(),
-    };
-    let scenarios = grid(text, &[axis(LOAD, loads), axis(LOST, lost)])?;
+    let scenarios = grid(text, &[Axis::of_numbers(LOAD, loads), Axis::of_numbers(LOST, lost)])?;
     if scenarios.iter().any(|(_, scenario)| scenario.failures.is_empty()) {
         return Err(NoMap::NoFailure);
     }
-    let jobs: Vec<(usize, u64)> =
-        (0..scenarios.len()).flat_map(|cell| seeds.iter().map(move |seed| (cell, *seed))).collect();
-    let places: Vec<(f64, f64)> =
-        loads.iter().flat_map(|load| lost.iter().map(move |lost| (*load, *lost))).collect();
-    let mut runs: Vec<(Tally, Course)> = (jobs.into_par_iter().with_max_len(1))
-        .map(|(cell, seed)| {
-            let mut scenario = scenarios[cell].1.clone();
-            let loss = setup::draw(&scenario, seed).failures[0].clone();
-            // At least one server is meant by any part: where none is, there is no failure.
-            if places[cell].1 <= 0.0 {
-                scenario.failures.remove(0);
-            }
-            let tally = sim::run(&scenario, policy, seed);
-            ended();
-            let course = Course::of(&tally.seconds, loss.at / 1e3, loss.lasts / 1e3);
-            (tally, course)
-        })
-        .collect();
-    let cells = places.iter().map(|(load, lost)| {
-        let rest = runs.split_off(seeds.len().min(runs.len()));
-        let (runs, courses) = std::mem::replace(&mut runs, rest).into_iter().unzip();
+    let places = loads.iter().flat_map(|load| lost.iter().map(move |lost| (*load, *lost)));
+    let places: Vec<_> = places.zip(scenarios).map(|(place, (_, scenario))| (place, scenario)).collect();
+    let runs = by_cell(&places, seeds, |((_, lost), scenario), seed| {
+        let mut scenario = scenario.clone();
+        let loss = setup::draw(&scenario, seed).failures[0].clone();
+        // At least one server is meant by any part: where none is, there is no failure.
+        if *lost <= 0.0 {
+            scenario.failures.remove(0);
+        }
+        let tally = sim::run(&scenario, policy, seed);
+        ended();
+        let course = Course::of(&tally.seconds, loss.at / 1e3, loss.lasts / 1e3);
+        (tally, course)
+    });
+    let cells = places.iter().zip(runs).map(|(((load, lost), _), runs)| {
+        let (runs, courses) = runs.into_iter().unzip();
         let mut cell = Cell { load: *load, lost: *lost, runs, courses };
         let name = cell.name();
         cell.runs.iter_mut().for_each(|tally| tally.cell.clone_from(&name));
@@ -228,15 +216,7 @@
     /// One self-contained page: the table, and the figures over the part that is lost, a curve for each load.
     pub fn html(&self, title: &str) -> Result<String, NoPlot> {
         let curves = |figure: &dyn Fn(&Cell) -> f64| {
-            let mut curves: Vec<Points> = Vec::new();
-            for cell in &self.cells {
-                let (name, point) = (format!("load {:.2}", cell.load), (cell.lost, figure(cell)));
-                match curves.iter_mut().find(|(known, _)| *known == name) {
-                    Some((_, points)) => points.push(point),
-                    None => curves.push((name, vec![point])),
-                }
-            }
-            curves
+            by_load(self.cells.iter().map(|cell| (cell.load, (cell.lost, figure(cell)))))
         };
         let part = |cell: &Cell| 100.0 * cell.stuck() as f64 / cell.courses.len().max(1) as f64;
         let during = |cell: &Cell| cell.mean(|c| 100.0 * c.during).mean;
