Drill: one way to lose servers, the module's states, and lies told once

Losing a part of a tier and losing a hall were written twice, in the drill and in simulated time. The drill's states of a server were those of the module's interface under another name. Two lies of the drills' broken halves stood twice and three times.

--- a/crates/drill/src/faults.rs
+++ b/crates/drill/src/faults.rs
@@ -5,9 +5,10 @@
 use crate::keeper::Sign;
 use crate::link::Fault;
 use crate::list::{unix_ms, Started};
-use crate::record::{Cut as CutSeen, Status};
+use crate::record::Cut as CutSeen;
 use hillstall_lab::scenario::{Between, Mode, What};
 use hillstall_lab::sim::setup::{some_of, FailureOf};
+use hillstall_module::api::BackendState;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -87,8 +88,17 @@
                 self.meant(failure).into_iter().for_each(|server| self.fleet.servers[server].drain(true));
             }
             What::Crash => self.meant(failure).into_iter().for_each(|server| self.die(server, false)),
-            What::Lose => self.lose(self.meant(failure)),
-            What::LoseZone => self.lose_zone(failure.zone),
+            What::Lose => {
+                let servers = self.meant(failure);
+                self.lose(&servers, |ends| self.is_about(&servers, ends));
+            }
+            What::LoseZone => {
+                let zone = failure.zone;
+                self.lose(&self.servers_of(zone), |ends| self.of_zone(zone, ends));
+                for front in self.fronts_of(zone) {
+                    self.sure(self.fleet.signal(front, Sign::Kill));
+                }
+            }
             What::Release => self.release(failure),
             What::KillProxies => {
                 for front in self.fronts(failure.part) {
@@ -121,8 +131,15 @@
                 self.meant(failure).into_iter().for_each(|server| self.fleet.servers[server].drain(false));
             }
             What::Crash => self.meant(failure).into_iter().for_each(|server| self.revive(server)),
-            What::Lose => self.give_back(self.meant(failure)),
-            What::LoseZone => self.return_zone(failure.zone),
+            What::Lose => {
+                let servers = self.meant(failure);
+                self.give_back(&servers, |ends| self.is_about(&servers, ends));
+            }
+            What::LoseZone => {
+                let zone = failure.zone;
+                self.give_back(&self.servers_of(zone), |ends| self.of_zone(zone, ends));
+                self.fronts_of(zone).into_iter().for_each(|front| self.start(front));
+            }
             What::KillProxies => self.fronts(failure.part).into_iter().for_each(|front| self.start(front)),
             What::StopProxies => {
                 for front in self.fronts(failure.part) {
@@ -144,10 +161,10 @@
     }
 
     /// Tells the list of a server, as late as it is.
-    fn list(self: &Rc<Faults>, server: usize, status: Status, notice: f64) {
+    fn list(self: &Rc<Faults>, server: usize, status: BackendState, notice: f64) {
         let fleet = self.fleet.clone();
         let weight = fleet.weight_again.get();
-        let since = (status == Status::Ready).then(|| Started { since_ms: unix_ms(), weight });
+        let since = (status == BackendState::Ready).then(|| Started { since_ms: unix_ms(), weight });
         spawn_local(async move {
             sleep(Duration::from_secs_f64(notice / 1e3)).await;
             fleet.lists.iter().for_each(|list| list.change(server, status, since));
@@ -162,7 +179,7 @@
         }
         let figures = &self.fleet.figures;
         let notice = if silently { figures.silent_notice } else { figures.notice };
-        self.list(server, Status::Gone, notice);
+        self.list(server, BackendState::Gone, notice);
     }
 
     /// A server starts, cold, with its proxy; it takes calls once that is up.
@@ -178,7 +195,7 @@
             if let Err(why) = of.listen() {
                 faults.wrong.borrow_mut().push(format!("server {server} can't listen again: {why}"));
             }
-            faults.list(server, Status::Ready, faults.fleet.figures.add_notice);
+            faults.list(server, BackendState::Ready, faults.fleet.figures.add_notice);
         });
     }
 
@@ -193,23 +210,30 @@
         }
     }
 
-    /// Servers that are gone from the network, with the proxies that stand beside them.
-    fn lose(self: &Rc<Faults>, servers: Vec<usize>) {
-        self.fleet.set(Fault::Silent, |ends| self.is_about(&servers, ends));
-        servers.into_iter().for_each(|server| self.die(server, true));
+    fn servers_of(&self, zone: usize) -> Vec<usize> {
+        let all = self.fleet.servers.iter().enumerate();
+        all.filter(|(_, server)| server.figures.zone == zone).map(|(number, _)| number).collect()
     }
 
-    fn give_back(self: &Rc<Faults>, servers: Vec<usize>) {
-        for (ends, link) in &self.fleet.links {
-            if self.is_about(&servers, *ends) {
-                link.reset();
-                link.set(Fault::None);
-            }
+    fn fronts_of(&self, zone: usize) -> Vec<usize> {
+        (0..self.fleet.fronts).filter(|front| self.fleet.processes[*front].zone == zone).collect()
+    }
+
+    /// Servers that are gone from the network, with the proxies that stand beside them and some links.
+    fn lose(self: &Rc<Faults>, servers: &[usize], links: impl Fn(Ends) -> bool) {
+        self.fleet.set(Fault::Silent, links);
+        servers.iter().for_each(|server| self.die(*server, true));
+    }
+
+    fn give_back(self: &Rc<Faults>, servers: &[usize], links: impl Fn(Ends) -> bool) {
+        for (_, link) in self.fleet.links.iter().filter(|(ends, _)| links(*ends)) {
+            link.reset();
+            link.set(Fault::None);
         }
         for server in servers {
             // Until its process listens, connections are refused.
-            self.fleet.servers[server].die(false);
-            self.revive(server);
+            self.fleet.servers[*server].die(false);
+            self.revive(*server);
         }
     }
 
@@ -219,40 +243,6 @@
         own || matches!(ends, Ends::Server { server, .. } if servers.contains(&server))
     }
 
-    fn lose_zone(self: &Rc<Faults>, zone: usize) {
-        self.fleet.set(Fault::Silent, |ends| self.of_zone(zone, ends));
-        for server in 0..self.fleet.servers.len() {
-            if self.fleet.servers[server].figures.zone == zone {
-                self.die(server, true);
-            }
-        }
-        for front in 0..self.fleet.fronts {
-            if self.fleet.processes[front].zone == zone {
-                self.sure(self.fleet.signal(front, Sign::Kill));
-            }
-        }
-    }
-
-    fn return_zone(self: &Rc<Faults>, zone: usize) {
-        for (ends, link) in &self.fleet.links {
-            if self.of_zone(zone, *ends) {
-                link.reset();
-                link.set(Fault::None);
-            }
-        }
-        for server in 0..self.fleet.servers.len() {
-            let of = &self.fleet.servers[server];
-            if of.figures.zone == zone {
-                // Until its process listens, connections are refused.
-                of.die(false);
-                self.revive(server);
-            }
-        }
-        (0..self.fleet.fronts)
-            .filter(|front| self.fleet.processes[*front].zone == zone)
-            .for_each(|front| self.start(front));
-    }
-
     /// One after another: the list says that it drains; it serves on for a while, ends, and starts again cold.
     fn release(self: &Rc<Faults>, failure: &FailureOf) {
         let machines = self.meant(failure);
@@ -265,7 +255,7 @@
                 sleep_until(history.instant(begins)).await;
                 let of = faults.fleet.servers[server].clone();
                 let notice = faults.fleet.figures.notice;
-                faults.list(server, Status::Draining, notice);
+                faults.list(server, BackendState::Draining, notice);
                 let stops = begins + 0.8 * each;
                 // Never before all know of it: such a stop would be a crash.
                 let refuses = (begins + notice + faults.fleet.figures.serves_on).min(stops);
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -5,13 +5,13 @@
 use crate::list::{Entry, Roster};
 use crate::platform;
 use crate::port::Port;
-use crate::record::{History, Life, Lived, Status};
+use crate::record::{History, Life, Lived};
 use crate::referee::{Server as TrueServer, Truth};
 use crate::server::{Below, Figures as ServerFigures, Server, WhoCalls};
 use hillstall_lab::scenario::Repeats;
 use hillstall_lab::sim::setup::{chance, Figures, Stream};
 use hillstall_lab::sim::Tally;
-use hillstall_module::api::Settings;
+use hillstall_module::api::{BackendState, Settings};
 use rand_xoshiro::rand_core::RngCore;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::cell::{Cell, RefCell};
@@ -233,7 +233,7 @@
                 server: figures.machines_of(tier).start + n,
                 name: format!("s{tier}-{n}"),
                 zone: of.places[n].zone,
-                status: Status::Ready,
+                status: BackendState::Ready,
                 weight: 1.0,
                 since_ms: 0.0,
             });
--- a/crates/drill/src/list.rs
+++ b/crates/drill/src/list.rs
@@ -3,8 +3,9 @@
 
 use crate::http::Wire;
 use crate::link::Callers;
-use crate::record::{History, Status, Told};
+use crate::record::{History, Told};
 use crate::server::WhoCalls;
+use hillstall_module::api::BackendState;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -28,7 +29,7 @@
     /// Its zone.
     pub zone: usize,
     /// What the list says of it.
-    pub status: Status,
+    pub status: BackendState,
     /// How much of the calls it should get, against the others.
     pub weight: f64,
     /// When it started last, as Unix time in milliseconds; 0 for long ago.
@@ -73,11 +74,11 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |passed| passed.as_secs_f64() * 1e3)
 }
 
-fn status(of: Status) -> &'static str {
+fn status(of: BackendState) -> &'static str {
     match of {
-        Status::Ready => "ready",
-        Status::Draining => "draining",
-        Status::Gone => "gone",
+        BackendState::Ready => "ready",
+        BackendState::Draining => "draining",
+        BackendState::Gone => "gone",
     }
 }
 
@@ -112,7 +113,7 @@
                 "zone": format!("zone-{}", e.zone), "type": "machine", "group": 0,
                 "status": status(e.status), "weight": e.weight, "since_ms": e.since_ms})
         };
-        let listed = entries.iter().filter(|e| !snapshot || e.status != Status::Gone);
+        let listed = entries.iter().filter(|e| !snapshot || e.status != BackendState::Gone);
         json!({"index": index, "snapshot": snapshot, "endpoints": listed.map(one).collect::<Vec<_>>()})
     }
 
@@ -122,7 +123,7 @@
     }
 
     /// Says something new of a server. While the service is down, this waits until it is back.
-    pub fn change(&self, server: usize, status: Status, started: Option<Started>) {
+    pub fn change(&self, server: usize, status: BackendState, started: Option<Started>) {
         let Some(mut entry) = self.entries.borrow().iter().find(|e| e.server == server).cloned() else {
             return;
         };
--- a/crates/drill/src/record.rs
+++ b/crates/drill/src/record.rs
@@ -1,6 +1,7 @@
 //! What was seen during a drill, in memory: by clients, by servers, by the list, and what was done to processes. Times
 //! are milliseconds since calls began; before that they are negative.
 
+use hillstall_module::api::BackendState;
 use std::cell::{Cell, RefCell};
 use std::time::Instant;
 
@@ -88,17 +89,6 @@
     pub done: Done,
 }
 
-/// What the list said of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Status {
-    /// It takes calls.
-    Ready,
-    /// Nothing new, please.
-    Draining,
-    /// It is no longer there.
-    Gone,
-}
-
 /// A line of the list that was written to a proxy.
 #[derive(Clone, Copy, Debug)]
 pub struct Told {
@@ -109,7 +99,7 @@
     /// Of which server.
     pub server: usize,
     /// What.
-    pub status: Status,
+    pub status: BackendState,
     /// When.
     pub at: f64,
 }
--- a/crates/drill/src/referee.rs
+++ b/crates/drill/src/referee.rs
@@ -1,9 +1,9 @@
 //! The referee: joins what clients, servers and the list saw by request id, and judges the whole fleet by the rules of
 //! the platform's protocol. It knows the rules and the true figures, and nothing of how a proxy decides.
 
-use crate::record::{Done, Ended, Hop, Lived, Seen, Status, Stood, Try};
+use crate::record::{Done, Ended, Hop, Lived, Seen, Stood, Try};
 use hillstall_lab::model::cold::ColdStart;
-use hillstall_module::api::{Effect, Settings};
+use hillstall_module::api::{BackendState, Effect, Settings};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
@@ -289,7 +289,7 @@
         let mut away: BTreeMap<(usize, u32, usize), Vec<(f64, bool)>> = BTreeMap::new();
         for told in &self.seen.told {
             let place = (told.process, told.life, told.server);
-            away.entry(place).or_default().push((told.at, told.status != Status::Ready));
+            away.entry(place).or_default().push((told.at, told.status != BackendState::Ready));
         }
         for hop in &self.seen.hops {
             let Some(said) = away.get(&(hop.process, hop.life, hop.server)) else { continue };
--- a/crates/drill/tests/referee.rs
+++ b/crates/drill/tests/referee.rs
@@ -1,11 +1,12 @@
 //! The referee on histories that are made by hand: each rule kept, and broken by as little as can be.
 
 use hillstall_drill::pulse::waited_ns;
-use hillstall_drill::record::{Cut, Done, Ended, Hop, Life, Lived, Seen, Start, Status, Stood, Told, Try};
+use hillstall_drill::record::{Cut, Done, Ended, Hop, Life, Lived, Seen, Start, Stood, Told, Try};
 use hillstall_drill::referee::{judge, late, story, Rule, Server, Truth, Verdict};
 use hillstall_lab::model::cold::ColdStart;
 use hillstall_lab::scenarios;
 use hillstall_lab::sim::setup;
+use hillstall_module::api::BackendState;
 
 const BROWSE: usize = 0;
 const PURCHASE: usize = 1;
@@ -123,7 +124,7 @@
 
 #[test]
 fn a_drain_binds_from_its_telling_and_each_proxy_by_itself() {
-    let at = |at: f64, told: &[(f64, Status, u32)]| Seen {
+    let at = |at: f64, told: &[(f64, BackendState, u32)]| Seen {
         tries: vec![a_try("c1-0", BROWSE, at + 100.0, Ended::Served)],
         hops: vec![hop("c1-0", 0, at, Done::Served)],
         told: (told.iter())
@@ -131,16 +132,16 @@
             .collect(),
         ..Seen::default()
     };
-    let drains = [(1_000.0, Status::Draining, 1)];
+    let drains = [(1_000.0, BackendState::Draining, 1)];
     assert_eq!(broken(&at(3_040.0, &drains)), []);
     assert_eq!(broken(&at(3_060.0, &drains)), [Rule::Drain]);
     // What is said again begins nothing anew; what is ready again is.
-    let again = [(1_000.0, Status::Draining, 1), (2_500.0, Status::Gone, 1)];
+    let again = [(1_000.0, BackendState::Draining, 1), (2_500.0, BackendState::Gone, 1)];
     assert_eq!(broken(&at(3_060.0, &again)), [Rule::Drain]);
-    let back = [(1_000.0, Status::Draining, 1), (2_500.0, Status::Ready, 1)];
+    let back = [(1_000.0, BackendState::Draining, 1), (2_500.0, BackendState::Ready, 1)];
     assert_eq!(broken(&at(3_060.0, &back)), []);
     // An earlier life of the proxy was told, not this one.
-    assert_eq!(broken(&at(3_060.0, &[(1_000.0, Status::Draining, 0)])), []);
+    assert_eq!(broken(&at(3_060.0, &[(1_000.0, BackendState::Draining, 0)])), []);
 }
 
 #[test]
--- a/crates/hillstall/tests/drill/main.rs
+++ b/crates/hillstall/tests/drill/main.rs
@@ -5,11 +5,11 @@
 
 use harness::{drill, drill_with, lied, look, scripted, service, wait, Looks};
 use hillstall_drill::fleet::{Ends, Lie};
-use hillstall_drill::record::{Done, Ended, Life, Lived, Status};
+use hillstall_drill::record::{Done, Ended, Life, Lived};
 use hillstall_drill::referee::{self, Rule};
 use hillstall_drill::Options;
 use hillstall_lab::stability::Course;
-use hillstall_module::api::Effect;
+use hillstall_module::api::{BackendState, Effect, Settings};
 use std::rc::Rc;
 
 /// Says what was measured: seen with `--nocapture`, and in a failure.
@@ -17,6 +17,21 @@
     println!("{what}: {kept:.2}; {off:.2} with the mechanism off");
 }
 
+/// A class that must never run twice, told as one of another effect.
+fn once_told_as(effect: Effect) -> impl Fn(&mut Settings) {
+    move |told| {
+        for class in told.classes.iter_mut().filter(|c| c.effect == Effect::Once) {
+            class.effect = effect;
+        }
+    }
+}
+
+/// Told that a minute is in time and that it stands below the top, no front turns a call away for the others' sake.
+fn without_gates(told: &mut Settings) {
+    told.stage = 1;
+    told.classes.iter_mut().for_each(|class| class.aim_ms = 60_000.0);
+}
+
 #[test]
 fn what_may_have_run_is_not_repeated_when_answers_are_lost() {
     let looks = Looks::default();
@@ -28,12 +43,7 @@
     let looks = looks.borrow();
     assert!(looks[2].forth > looks[1].forth, "calls still reach the boxes: {looks:?}");
     assert_eq!(looks[2].back, looks[1].back, "answers don't come back");
-    // A class that must never run twice, told as one with a key.
-    let broken = lied("drill-one-way", 1, |told| {
-        for class in told.classes.iter_mut().filter(|c| c.effect == Effect::Once) {
-            class.effect = Effect::Keyed;
-        }
-    });
+    let broken = lied("drill-one-way", 1, once_told_as(Effect::Keyed));
     broken.breaks(Rule::BarredRepeat);
 }
 
@@ -48,10 +58,10 @@
     };
     assert!(calls(4_500.0) > 20, "they are called again");
     // A list that says that each of them should get thirty times the calls of the others.
-    // Proxies that are told of no cold rule, that a minute is in time, and that gates are others' work, believe it.
+    // Proxies that are told of no cold rule, and keep no gates, believe it.
     let lie: Lie = Rc::new(|told| {
-        (told.rules.cold_ms, told.fleet_size, told.rank, told.stage) = (0.0, 1, 0, 1);
-        told.classes.iter_mut().for_each(|class| class.aim_ms = 60_000.0);
+        (told.rules.cold_ms, told.fleet_size, told.rank) = (0.0, 1, 0);
+        without_gates(told);
     });
     let broken = drill_with("drill-cold", 1, || Options {
         lie: Some(lie.clone()),
@@ -67,7 +77,7 @@
 fn nothing_new_reaches_a_draining_box_after_its_grace() {
     let kept = drill("drill-release", 1);
     kept.keeps_the_rules();
-    let drains = kept.0.seen.told.iter().filter(|t| t.status == Status::Draining).count();
+    let drains = kept.0.seen.told.iter().filter(|t| t.status == BackendState::Draining).count();
     assert!(drains >= 2 * 4, "all fronts were told of all drains: {drains}");
     let broken = lied("drill-release", 1, |told| told.rules.drain_grace_ms = 60_000.0);
     broken.breaks(Rule::Drain);
@@ -137,12 +147,7 @@
     assert!(told(6_400.0, 11_000.0) > 0, "and is heard again");
     let lost = kept.0.seen.hops.iter().filter(|h| h.done == Done::Lost).count();
     assert!(lost > 0, "calls were lost with their boxes");
-    // A class that must never run twice, told as one that is safe to repeat.
-    let broken = lied("drill-list", 1, |told| {
-        for class in told.classes.iter_mut().filter(|c| c.effect == Effect::Once) {
-            class.effect = Effect::Repeatable;
-        }
-    });
+    let broken = lied("drill-list", 1, once_told_as(Effect::Repeatable));
     broken.breaks(Rule::BarredRepeat);
 }
 
@@ -168,11 +173,7 @@
 fn a_burst_at_all_fronts_leaves_no_box_slow() {
     let kept = drill("drill-burst", 1);
     kept.keeps_the_rules();
-    // Told that a minute is in time and that it stands below the top, no front turns a call away for the others' sake.
-    let off = lied("drill-burst", 1, |told| {
-        told.stage = 1;
-        told.classes.iter_mut().for_each(|class| class.aim_ms = 60_000.0);
-    });
+    let off = lied("drill-burst", 1, without_gates);
     say("service", service(&kept), service(&off));
     assert_eq!(kept.0.tally.chokes, 0, "a box turned slow");
     assert!(service(&off) < service(&kept) - 10.0, "gates are of no use");
@@ -197,11 +198,7 @@
     let part = |course: Course| course.during / (0.5 / 0.85);
     let killed = kept.0.seen.lives.iter().filter(|l| l.what == Lived::Killed).count();
     assert_eq!(killed, 3, "the proxies beside three boxes are gone with them");
-    // Told that a minute is in time and that it stands below the top, no front turns a call away for the others' sake.
-    let off = lied("drill-half", 1, |told| {
-        told.stage = 1;
-        told.classes.iter_mut().for_each(|class| class.aim_ms = 60_000.0);
-    });
+    let off = lied("drill-half", 1, without_gates);
     say("% served of what is left to serve", 100.0 * part(course(&kept)), 100.0 * part(course(&off)));
     assert_eq!(kept.0.tally.chokes, 0, "a box that is left turned slow");
     assert!(part(course(&kept)) >= 0.75, "{:?}", course(&kept));
--- a/crates/lab/src/sim/failures.rs
+++ b/crates/lab/src/sim/failures.rs
@@ -64,26 +64,12 @@
                 }
             }
             What::Lose => {
-                for machine in self.meant(index, part) {
-                    if begins {
-                        self.die(machine, false)
-                    } else {
-                        self.revive(machine)
-                    }
-                    self.hosts[machine].lost = begins;
-                }
+                self.meant(index, part).into_iter().for_each(|machine| self.lose(machine, begins));
             }
             What::LoseZone => {
                 let machines: Vec<usize> =
                     (0..self.hosts.len()).filter(|h| self.hosts[*h].zone == zone).collect();
-                for machine in machines {
-                    if begins {
-                        self.die(machine, false)
-                    } else {
-                        self.revive(machine)
-                    }
-                    self.hosts[machine].lost = begins;
-                }
+                machines.into_iter().for_each(|machine| self.lose(machine, begins));
                 for proxy in 0..self.proxies.len() {
                     if self.proxies[proxy].zone == zone && self.proxies[proxy].tier == 0 {
                         self.proxies[proxy].alive = !begins;
@@ -145,6 +131,16 @@
         self.changed(machine, BackendState::Gone, notice);
     }
 
+    /// A machine is gone from the network, or is back.
+    fn lose(&mut self, machine: usize, begins: bool) {
+        if begins {
+            self.die(machine, false);
+        } else {
+            self.revive(machine);
+        }
+        self.hosts[machine].lost = begins;
+    }
+
     fn revive(&mut self, machine: usize) {
         self.hosts[machine].machine.start(self.now);
         self.hosts[machine].started_at = Some(self.now);
