--- a/crates/module/tests/common/mod.rs
+++ b/crates/module/tests/common/mod.rs
@@ -173,9 +173,18 @@
 
     /// A new request; the attempt if it was sent.
     pub fn ask(&mut self, class: u8, tenant: u16, ttl_ms: Millis) -> Option<Sent> {
+        self.ask_again(class, tenant, ttl_ms, false)
+    }
+
+    /// The same, marked as a client's repeat or not.
+    pub fn ask_again(&mut self, class: u8, tenant: u16, ttl_ms: Millis, marked: bool) -> Option<Sent> {
         let id = self.next;
         self.next += 1;
-        self.event(request(id, class, tenant, ttl_ms));
+        let mut asked = request(id, class, tenant, ttl_ms);
+        if let Event::Request { repeat, .. } = &mut asked {
+            *repeat = marked;
+        }
+        self.event(asked);
         self.sent()
     }
 
--- a/crates/module/tests/heat.rs
+++ b/crates/module/tests/heat.rs
@@ -13,18 +13,7 @@
 }
 
 fn ask(p: &mut Proxy, id: RequestId, repeat: bool) -> Option<Sent> {
-    let tenant = (id % 3) as u16;
-    p.event(Event::Request {
-        id,
-        key: None,
-        class: 0,
-        tenant,
-        hint_ms: None,
-        repeat,
-        write: false,
-        ttl_ms: 4_000.0,
-    });
-    p.sent()
+    p.ask_again(0, (id % 3) as u16, 4_000.0, repeat)
 }
 
 /// So many calls a second for some seconds, each answered after 250 ms; the part that was refused.
--- a/crates/module/tests/room.rs
+++ b/crates/module/tests/room.rs
@@ -13,21 +13,8 @@
 }
 
 /// Calls that are let in at once of `n`, all of them marked as repeats; they are left open.
-fn repeats_admitted(p: &mut Proxy, n: u64) -> usize {
-    let ask = |p: &mut Proxy, id: u64| {
-        p.event(Event::Request {
-            id,
-            key: None,
-            class: 0,
-            tenant: 0,
-            hint_ms: None,
-            repeat: true,
-            write: false,
-            ttl_ms: 4_000.0,
-        });
-        p.sent().is_some()
-    };
-    (0..n).filter(|n| ask(p, 1_000_000 + n)).count()
+fn repeats_admitted(p: &mut Proxy, n: usize) -> usize {
+    (0..n).filter(|_| p.ask_again(0, 0, 4_000.0, true).is_some()).count()
 }
 
 #[test]
@@ -50,11 +37,9 @@
     for _ in 0..40 {
         let Some(sent) = p.ask(0, 0, 4_000.0) else { break };
         p.now += 2.0;
-        let outcome = if sent.to > 4 { Outcome::ConnectFailed } else { Outcome::Ok };
-        let mut next = p.end(sent, outcome);
+        let mut next = Some(sent);
         while let Some(sent) = next {
-            let outcome = if sent.to > 4 { Outcome::ConnectFailed } else { Outcome::Ok };
-            next = p.end(sent, outcome);
+            next = p.end(sent, if sent.to > 4 { Outcome::ConnectFailed } else { Outcome::Ok });
         }
     }
     p.now += 25.0;
