The scale of the room is computed when it changes, not at each call

Every call raised the part that answers to a power up to four times, though it changes at most every 20 ms. Looking at the room is a step of its own in the module, and both samples that a finished call makes come from one place.

--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -733,11 +733,7 @@
         }
         let passed = (self.now - self.heat_at).min(HEAT_SLOW);
         self.heat_at = self.now;
-        let (now, rules) = (self.now, &self.settings.rules);
-        // One that answers, if only to turn calls away, is not lost.
-        let heard = |b: &&Backend| b.health.read(now) >= ANSWERS || b.answered_at >= b.health.judged_at;
-        let sound = self.backends.iter().filter(heard);
-        self.room.look(now, sound.map(|b| b.rating() * b.warmth(now, rules) * b.stays(now, rules)).sum());
+        self.look_at_room();
         // What a window that began empty holds by now of a steady rate.
         let asked = self.now - *self.asked_from.get_or_insert(self.now);
         let window = DEMAND_MS * (1.0 - (-asked.max(DEMAND_LEAST) / DEMAND_MS).exp());
@@ -767,6 +763,14 @@
         self.heat += (heat - self.heat) * part;
     }
 
+    /// The room of the backends that answer; one that does so if only to turn calls away is not lost.
+    fn look_at_room(&mut self) {
+        let (now, rules) = (self.now, &self.settings.rules);
+        let answers = |b: &&Backend| b.health.read(now) >= ANSWERS || b.answered_at >= b.health.judged_at;
+        let sound = self.backends.iter().filter(answers);
+        self.room.look(now, sound.map(|b| b.rating() * b.warmth(now, rules) * b.stays(now, rules)).sum());
+    }
+
     /// The node check, then the pick. Without room or backend the request is refused, or failed where a
     /// refusal could lie.
     fn try_send(&mut self, id: RequestId, mut held: Held, actions: &mut Vec<Action>) {
@@ -944,14 +948,12 @@
                 b.slowness += ((took / expected).min(10.0) - b.slowness) / (5.0 + b.samples);
             }
         }
+        let (sent_at, heat, rise) = (attempt.sent_at, self.heat * self.room.scale(), self.room.rise());
+        let sample = |stress, spare| Sample { sent_at, stress, spare, heat, rise };
         if outcome == Outcome::Cancelled || outcome == Outcome::Moot {
             // A client that left: late for it. More would shut the gate where an idle tier is too slow.
             if held.over && self.settings.stage == 0 {
-                let (sent_at, heat) = (attempt.sent_at, self.heat * self.room.scale());
-                self.learn_counts(
-                    Sample { sent_at, stress: 1.0, spare: 0.0, heat, rise: self.room.rise() },
-                    out,
-                );
+                self.learn_counts(sample(1.0, 0.0), out);
             }
             return;
         }
@@ -959,8 +961,7 @@
         // connection that did not come about, as while a zone is cut off.
         if ok || (sound && outcome != Outcome::ConnectFailed) {
             let stress = if ok { took / aim } else { FAILED_STRESS.max(took / aim) };
-            let (sent_at, heat) = (attempt.sent_at, self.heat * self.room.scale());
-            self.learn_counts(Sample { sent_at, stress, spare, heat, rise: self.room.rise() }, out);
+            self.learn_counts(sample(stress, spare), out);
         }
     }
 
--- a/crates/storm/src/room.rs
+++ b/crates/storm/src/room.rs
@@ -23,11 +23,13 @@
     most: f64,
     at: Millis,
     part: f64,
+    /// Goes by the part; kept, as every call asks for it and the part changes seldom.
+    scale: f64,
 }
 
 impl Default for Room {
     fn default() -> Room {
-        Room { most: 0.0, at: 0.0, part: 1.0 }
+        Room { most: 0.0, at: 0.0, part: 1.0, scale: 1.0 }
     }
 }
 
@@ -38,14 +40,15 @@
         let answers = if answers.is_finite() { answers.max(0.0) } else { 0.0 };
         let passed = (now - self.at).max(0.0);
         self.at = self.at.max(now);
-        if answers <= 0.0 {
-            self.part = 1.0;
-            return;
-        }
-        let faded = answers + (self.most - answers) * (-passed / FORGET_MS).exp();
-        self.most = faded.max(answers);
-        // So small a part that it is none in this number is still one.
-        self.part = (answers / self.most).max(f64::MIN_POSITIVE);
+        self.part = if answers > 0.0 {
+            let faded = answers + (self.most - answers) * (-passed / FORGET_MS).exp();
+            self.most = faded.max(answers);
+            // So small a part that it is none in this number is still one.
+            (answers / self.most).max(f64::MIN_POSITIVE)
+        } else {
+            1.0
+        };
+        self.scale = self.part.powf(STEEP);
     }
 
     /// The part of the tier that answers, over 0 and at most 1.
@@ -55,12 +58,12 @@
 
     /// By how much the counts admit less.
     pub fn scale(&self) -> f64 {
-        self.part.powf(STEEP)
+        self.scale
     }
 
     /// Whether the tier is short of room.
     pub fn is_short(&self) -> bool {
-        self.scale() < SHORT
+        self.scale < SHORT
     }
 
     /// How many times what it was when the tier was whole a count may rise to, while that is short: what is left may hold
