--- a/crates/module/tests/calm.rs
+++ b/crates/module/tests/calm.rs
@@ -44,7 +44,10 @@
     let (all, now) = (let_in(60, 200.0, served), let_in(60, 200.0, left));
     assert!(now * 10 >= all * 9, "{now} of {all}");
     let late = let_in(60, 1_000.0, left);
-    assert!(late * 2 <= all, "{late} of {all} though one in four waits for all of the aim, and the others do so too");
+    assert!(
+        late * 2 <= all,
+        "{late} of {all} though one in four waits for all of the aim, and the others do so too"
+    );
 }
 
 #[test]
