--- /dev/null
+++ b/crates/lease/src/hold.rs
@@ -0,0 +1,141 @@
+//! What a copy knows of one duty that it stands for or holds.
+//!
+//! To be given a duty is not to hold it: the keepers' wait begins when they give it, and this copy may hear of that much
+//! later. It first renews the grant, and acts from the answer on; that answer cannot be older than its own question.
+
+use crate::book::{Command, Grant};
+use crate::terms::Terms;
+use crate::{Copy, Duty, Millis, Token};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Held {
+    token: Token,
+    until: Millis,
+}
+
+/// See the module's text.
+#[derive(Clone, Debug)]
+pub struct Hold {
+    duty: Duty,
+    copy: Copy,
+    rank: u8,
+    terms: Terms,
+    held: Option<Held>,
+    /// Given to this copy, and not renewed yet.
+    found: Option<Token>,
+    /// Grants up to this one are over, whatever a late answer says.
+    over: Token,
+    ask_at: Millis,
+    leaving: bool,
+}
+
+impl Hold {
+    /// A copy that stands for a duty from `now` on. `rank`: lower ones come first.
+    pub fn new(duty: Duty, copy: Copy, rank: u8, terms: Terms, now: Millis) -> Hold {
+        Hold {
+            duty,
+            copy,
+            rank,
+            terms,
+            held: None,
+            found: None,
+            over: Token::default(),
+            ask_at: now,
+            leaving: false,
+        }
+    }
+
+    /// The token to act by at `now`; `None` if this copy may not act. Asked right before each act.
+    pub fn token(&self, now: Millis) -> Option<Token> {
+        self.held.filter(|held| now < held.until).map(|held| held.token)
+    }
+
+    /// What to propose to the keepers, if it is time, and when it was asked for: the answer is to be given back with
+    /// that. `random` is from 0 to 1; it spreads the copies that stand, so that they do not all ask at once.
+    pub fn ask(&mut self, now: Millis, random: f64) -> Option<Command> {
+        self.expire(now);
+        if now < self.ask_at {
+            return None;
+        }
+        let wait = self.terms.renew_after();
+        let spread = (wait as f64 * 0.2 * random.clamp(0.0, 1.0)) as Millis;
+        self.ask_at = now.saturating_add(wait - spread);
+        let (duty, copy) = (self.duty.clone(), self.copy);
+        Some(match self.held {
+            _ if self.leaving => Command::Leave { duty, copy },
+            Some(held) => Command::Renew { duty, copy, token: held.token },
+            None => match self.found {
+                Some(token) => Command::Renew { duty, copy, token },
+                None => Command::Stand { duty, copy, rank: self.rank },
+            },
+        })
+    }
+
+    /// The duty's grant as the keepers have it, by an answer or by what they tell all copies.
+    pub fn heard(&mut self, now: Millis, grant: Option<Grant>) {
+        self.expire(now);
+        match grant {
+            Some(grant) if grant.holder == self.copy && grant.token > self.over && !self.leaving => {
+                if self.held.is_none() && self.found.is_none_or(|found| found < grant.token) {
+                    self.found = Some(grant.token);
+                    self.ask_at = now;
+                }
+            }
+            // Somebody else has it: what this copy was given before is over. News of older grants says nothing.
+            Some(grant) => {
+                if self.held.is_some_and(|held| grant.token > held.token) {
+                    self.give_up();
+                }
+                self.found = self.found.filter(|found| *found > grant.token);
+            }
+            None => {}
+        }
+    }
+
+    /// The keepers have renewed the grant of this token, as was asked at `asked_at`.
+    pub fn renewed(&mut self, now: Millis, asked_at: Millis, token: Token) {
+        self.expire(now);
+        if token <= self.over || self.leaving {
+            return;
+        }
+        let until = asked_at.saturating_add(self.terms.held_for());
+        match &mut self.held {
+            // An older answer that comes late must not shorten what a newer one gave.
+            Some(held) if held.token == token => held.until = held.until.max(until),
+            Some(held) if held.token > token => {}
+            held => *held = Some(Held { token, until }),
+        }
+        self.found = None;
+        self.expire(now);
+    }
+
+    /// The keepers say that the grant is over.
+    pub fn refused(&mut self, newest: Token) {
+        if self.held.is_some_and(|held| newest >= held.token) {
+            self.give_up();
+        }
+        self.found = self.found.filter(|found| *found > newest);
+    }
+
+    /// This copy ends: it acts no more from now on, and tells the keepers, who give the duty to the next in line.
+    pub fn leave(&mut self, now: Millis) {
+        self.leaving = true;
+        self.give_up();
+        self.found = None;
+        self.ask_at = now;
+    }
+
+    fn give_up(&mut self) {
+        if let Some(held) = self.held.take() {
+            self.over = self.over.max(held.token);
+        }
+    }
+
+    /// A grant that ran out may still stand in the keepers' book: it is asked for anew, and acted by only once renewed.
+    fn expire(&mut self, now: Millis) {
+        if let Some(held) = self.held.filter(|held| now >= held.until) {
+            self.held = None;
+            self.found = Some(held.token);
+        }
+    }
+}
