--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -57,6 +57,8 @@
     pub address: SocketAddr,
     /// Its state.
     pub state: BackendState,
+    /// Its zone.
+    pub zone: u16,
     started_at: Option<f64>,
     /// When it was first told that it drains, if it was ready before that.
     leaves_since: Option<Instant>,
@@ -148,7 +150,9 @@
                 Status::Gone => BackendState::Gone,
             };
             let started_at = (endpoint.since_ms > 0.0).then_some(endpoint.since_ms);
-            let mut place = Place { address: endpoint.address, state, started_at, leaves_since: None };
+            let index = |names: &[String], name: &str| names.iter().position(|n| n == name);
+            let zone = index(&self.zones, &endpoint.zone).map_or(u16::MAX, |i| i as u16);
+            let mut place = Place { address: endpoint.address, state, zone, started_at, leaves_since: None };
             let before = self.places.get(&id).copied();
             let same = before.filter(|before| place.is_same(before));
             let leaves = state == BackendState::Draining
@@ -160,10 +164,9 @@
                 changes.stale.push(id);
             }
             self.places.insert(id, place);
-            let index = |names: &[String], name: &str| names.iter().position(|n| n == name);
             changes.infos.push(BackendInfo {
                 id,
-                zone: index(&self.zones, &endpoint.zone).map_or(u16::MAX, |i| i as u16),
+                zone,
                 kind: index(&self.kinds, &endpoint.kind).map_or(u8::MAX, |i| i as u8),
                 cell: endpoint.group,
                 state,
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -137,8 +137,23 @@
     Event(Event<'static>),
 }
 
+/// What was sent to a zone since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ToZone {
+    /// Attempts.
+    pub sent: u64,
+    /// Those that a server answered.
+    pub answered: u64,
+    /// Those that ended in silence: no connection, a broken one, or no answer in time.
+    pub silent: u64,
+    /// The part of its CPU that a server used, added up over the answers that told it, and how many did.
+    pub busy: (f64, u64),
+}
+
 struct State<C: Carrier> {
     balancer: Balancer,
+    /// By zone; empty where nobody wants to know.
+    to_zones: Vec<ToZone>,
     happened: VecDeque<Happening>,
     actions: Vec<Action>,
     directory: Directory,
@@ -161,6 +176,8 @@
     max_attempts: u32,
     max_open: usize,
     probes_report: bool,
+    /// The place of the CPU in a server's report.
+    cpu_at: Option<usize>,
     listed: Cell<bool>,
     /// Whether a watch has failed since discovery was heard last.
     unheard: Cell<bool>,
@@ -203,11 +220,13 @@
             max_attempts: settings.allowed.max_attempts.min(u32::from(u8::MAX)),
             max_open: start.max_open.min(settings.allowed.max_open as usize),
             probes_report: settings.report_via == ReportVia::Probe,
+            cpu_at: settings.report.iter().position(|field| *field == ReportField::Cpu),
             listed: Cell::new(false),
             unheard: Cell::new(false),
             leave_grace: span(settings.rules.drain_grace_ms * LEAVE_PART),
             state: RefCell::new(State {
                 directory: Directory::new(&settings),
+                to_zones: Vec::new(),
                 balancer: Balancer::new(settings, start.seed),
                 happened: VecDeque::new(),
                 actions: Vec::new(),
@@ -245,6 +264,21 @@
         self.state.borrow_mut().balancer.share_with(others);
     }
 
+    /// Counts from now on what is sent to each of so many zones.
+    pub fn count_zones(&self, zones: usize) {
+        self.state.borrow_mut().to_zones.resize(zones, ToZone::default());
+    }
+
+    /// What was sent to each zone, where it is counted.
+    pub fn to_zones(&self) -> Vec<ToZone> {
+        self.state.borrow().to_zones.clone()
+    }
+
+    /// A hint for the module: a zone gets this part of its usual load.
+    pub fn site_part(&self, zone: u16, part: f64, age_ms: Millis) {
+        self.event(Event::SitePart { zone, part, age_ms });
+    }
+
     /// The backends as the module sees them.
     pub fn cluster(&self) -> Cluster {
         let (size, unhealthy) = self.state.borrow().balancer.listed(self.clock.now());
@@ -351,6 +385,18 @@
             (None, None) => None,
         };
         open.course.last_outcome = Some(ended.outcome);
+        let zone = state.directory.place(backend).map(|place| usize::from(place.zone));
+        if let Some(to) = zone.and_then(|zone| state.to_zones.get_mut(zone)) {
+            match ended.outcome {
+                Outcome::Ok | Outcome::Error | Outcome::Full => to.answered += 1,
+                Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => to.silent += 1,
+                Outcome::Cancelled | Outcome::Moot => {}
+            }
+            let cpu = self.cpu_at.filter(|at| *at < usize::from(ended.report.len));
+            if let Some(cpu) = cpu.and_then(|at| ended.report.values.get(at)).filter(|cpu| cpu.is_finite()) {
+                to.busy = (to.busy.0 + f64::from(*cpu), to.busy.1 + 1);
+            }
+        }
         if let Some(last) = last {
             open.answer(last);
         }
@@ -468,6 +514,9 @@
         let (cancel, cancelled) = oneshot::channel();
         open.out = Some(Out { attempt: open.course.attempts as u8, backend, cancel: Some(cancel) });
         let sent = Instant::now();
+        if let Some(to) = state.to_zones.get_mut(usize::from(place.zone)) {
+            to.sent += 1;
+        }
         open.course.attempts += 1;
         open.course.server = Some(place.address);
         open.course.first_sent = open.course.first_sent.or(Some(sent));
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -71,6 +71,13 @@
         });
     }
 
+    /// Requests that have ended, and those of them that were turned away.
+    pub fn ended(&self) -> (u64, u64) {
+        let all = |of: fn(&OfClass) -> u64| self.classes.iter().map(of).sum::<u64>();
+        let deferred = all(|class| class.deferred.get());
+        (all(|class| class.answered.get() + class.errored.get()) + deferred, deferred)
+    }
+
     /// The module gave up a request of a class, for this reason.
     pub fn unserved(&self, class: u8, why: Reason) {
         if let Some(class) = self.classes.get(usize::from(class)) {
--- a/crates/drill/src/faults.rs
+++ b/crates/drill/src/faults.rs
@@ -206,7 +206,7 @@
             Ends::Server { server, .. } => {
                 self.fleet.servers[server].figures.zone == zone || process.zone == zone
             }
-            Ends::Door { .. } | Ends::List { .. } => process.zone == zone,
+            Ends::Door { .. } | Ends::List { .. } | Ends::Keeper { .. } => process.zone == zone,
         }
     }
 
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -8,6 +8,7 @@
 use crate::record::{History, Life, Lived};
 use crate::referee::{Server as TrueServer, Truth};
 use crate::server::{Below, Figures as ServerFigures, Server, WhoCalls};
+use crate::talk::Talk;
 use hillstall_lab::scenario::Repeats;
 use hillstall_lab::sim::setup::{chance, Figures, Stream};
 use hillstall_lab::sim::Tally;
@@ -79,13 +80,23 @@
         /// The proxy.
         process: usize,
     },
+    /// From a proxy to a keeper of the fleet.
+    Keeper {
+        /// The proxy.
+        process: usize,
+        /// The keeper's slot.
+        slot: usize,
+    },
 }
 
 impl Ends {
     /// The proxy at one of its ends.
     pub fn process(self) -> usize {
         match self {
-            Ends::Door { process } | Ends::Server { process, .. } | Ends::List { process } => process,
+            Ends::Door { process }
+            | Ends::Server { process, .. }
+            | Ends::List { process }
+            | Ends::Keeper { process, .. } => process,
         }
     }
 }
@@ -104,7 +115,12 @@
     pub zone: usize,
     /// What it is told.
     pub settings: Settings,
+    /// Its second address.
+    pub admin: SocketAddr,
     port: Port,
+    /// Kept for its second address, and for its own copies' links where it is a keeper.
+    admin_port: Port,
+    talk_port: Port,
     folder: PathBuf,
     /// Whether its process runs.
     pub runs: Cell<bool>,
@@ -118,6 +134,11 @@
         self.port.address()
     }
 
+    /// Where its files are.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// Its log.
     pub fn log(&self) -> PathBuf {
         self.folder.join("log")
@@ -144,6 +165,8 @@
     pub links: Vec<(Ends, Rc<Link>)>,
     /// The weight that the list gives to servers that have started again; 1 is the truth.
     pub weight_again: Cell<f64>,
+    /// How its copies talk, if they do.
+    pub talk: Option<Talk>,
     by_ends: HashMap<Ends, usize>,
     lives: Rc<RefCell<Vec<u32>>>,
     keeper: RefCell<Keeper>,
@@ -164,6 +187,8 @@
     pub seed: u64,
     /// What the proxies are told wrongly, if anything.
     pub lie: Option<Lie>,
+    /// How its copies talk, if they do.
+    pub talk: Option<Talk>,
     /// Where files go.
     pub folder: &'a Path,
 }
@@ -175,19 +200,24 @@
     copies: usize,
     zone: usize,
     port: Port,
+    admin_port: Port,
+    talk_port: Port,
 }
 
 fn sketches(figures: &Figures) -> IoResult<Vec<Sketch>> {
     let mut all = Vec::new();
     for (rank, zone) in figures.proxies.iter().enumerate() {
         let (copies, port) = (figures.proxies.len(), Port::take()?);
-        all.push(Sketch { name: format!("front-{rank}"), tier: 0, rank, copies, zone: *zone, port });
+        let (name, admin_port, talk_port) = (format!("front-{rank}"), Port::take()?, Port::take()?);
+        all.push(Sketch { name, tier: 0, rank, copies, zone: *zone, port, admin_port, talk_port });
     }
     for (above, tier) in figures.tiers.iter().take(figures.tiers.len() - 1).enumerate() {
         for (rank, place) in tier.places.iter().enumerate() {
             let (copies, port) = (tier.places.len(), Port::take()?);
             let name = format!("beside-s{above}-{rank}");
-            all.push(Sketch { name, tier: above + 1, rank, copies, zone: place.zone, port });
+            let (admin_port, talk_port) = (Port::take()?, Port::take()?);
+            let (tier, zone) = (above + 1, place.zone);
+            all.push(Sketch { name, tier, rank, copies, zone, port, admin_port, talk_port });
         }
     }
     Ok(all)
@@ -196,7 +226,7 @@
 impl Fleet {
     /// Starts everything, and waits until all of it is up.
     pub async fn start(plan: Plan<'_>) -> Result<Rc<Fleet>, NoDrill> {
-        let Plan { program, figures, seed, lie, folder } = plan;
+        let Plan { program, figures, seed, lie, talk, folder } = plan;
         let history = Rc::new(History::default());
         let callers = Callers::default();
         let owners: Rc<RefCell<Vec<usize>>> = Rc::default();
@@ -250,6 +280,12 @@
         for (process, sketch) in sketches.iter().enumerate() {
             lists_by.push(link(Ends::List { process }, lists_at[sketch.tier])?.address());
         }
+        for slot in 0..talk.as_ref().map_or(0, |talk| talk.keepers) {
+            let keeper = sketches[slot].talk_port.address();
+            for process in 0..sketches.len() {
+                link(Ends::Keeper { process, slot }, keeper)?;
+            }
+        }
         for (process, sketch) in sketches.iter().enumerate().take(figures.proxies.len()) {
             link(Ends::Door { process }, sketch.port.address())?;
         }
@@ -258,6 +294,7 @@
                 let mut settings = figures.settings(s.tier, s.rank, s.copies, s.zone);
                 // The list here answers only when asked, as the platform's does.
                 settings.must_subscribe = true;
+                settings.allowed.peers = talk.is_some();
                 if let Some(lie) = &lie {
                     lie(&mut settings);
                 }
@@ -269,7 +306,10 @@
                     rank: s.rank,
                     zone: s.zone,
                     settings,
+                    admin: s.admin_port.address(),
                     port: s.port,
+                    admin_port: s.admin_port,
+                    talk_port: s.talk_port,
                     folder,
                     runs: Cell::new(false),
                     pid: Cell::new(None),
@@ -290,6 +330,7 @@
             servers,
             lists,
             weight_again: Cell::new(1.0),
+            talk,
             by_ends: links.iter().enumerate().map(|(place, (ends, _))| (*ends, place)).collect(),
             links,
             lives,
@@ -301,6 +342,7 @@
         spawn_local(hear(Rc::downgrade(&fleet), news));
         for (process, list) in fleet.processes.iter().zip(lists_by) {
             std::fs::create_dir_all(process.folder.join("tmp")).map_err(system("a folder"))?;
+            std::fs::create_dir_all(process.folder.join("disk")).map_err(system("a folder"))?;
             fleet.launch(process.number, list)?;
         }
         for process in 0..fleet.processes.len() {
@@ -371,16 +413,29 @@
         let text = platform::file(&told).to_string();
         std::fs::write(&config, text).map_err(system(config.display().to_string()))?;
         let text = |path: &Path| path.display().to_string();
+        let mut operator = Vec::new();
+        if let Some(talk) = &self.talk {
+            let path = process.folder.join("operator.toml");
+            let keepers = (0..talk.keepers).map(|slot| Ends::Keeper { process: number, slot });
+            let keepers: Vec<SocketAddr> = keepers.map(|ends| self.link(ends).address()).collect();
+            let listen = talk.is_keeper(number).then(|| process.talk_port.address());
+            let file = talk.file(number, &keepers, listen, &process.folder.join("disk"));
+            std::fs::write(&path, file).map_err(system(path.display().to_string()))?;
+            operator = vec!["--operator".into(), text(&path)];
+        }
         let start = Start {
             number,
             program: self.program.clone(),
             arguments: ["run", "--set", "log.calls=true", "--set", "log.format=json"]
                 .map(String::from)
-                .into(),
+                .into_iter()
+                .chain(operator)
+                .collect(),
             environment: vec![
                 ("NODE_NAME".into(), process.name.clone()),
                 ("NODE_LISTEN".into(), process.address().to_string()),
                 ("NODE_DISCOVERY".into(), list.to_string()),
+                ("NODE_ADMIN_ADDR".into(), process.admin_port.address().to_string()),
                 ("NODE_CONFIG".into(), text(&config)),
                 ("TMPDIR".into(), text(&process.folder.join("tmp"))),
             ],
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod referee;
 pub mod run;
 pub mod server;
+pub mod talk;
 pub mod udp;
 
 pub use run::{run, Drilled, Options};
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -30,6 +30,8 @@
 pub struct Options {
     /// What the proxies are told wrongly, if anything.
     pub lie: Option<Lie>,
+    /// How the copies talk, if they do.
+    pub talk: Option<crate::talk::Talk>,
     /// Runs beside the calls, from the first one on.
     pub script: Option<Script>,
     /// Where configurations and logs go, and stay; else they go with the drill.
@@ -83,7 +85,8 @@
     folder: &Path,
 ) -> Result<Drilled, NoDrill> {
     let figures = setup::draw(scenario, seed);
-    let fleet = Fleet::start(Plan { program, figures, seed, lie: options.lie, folder }).await?;
+    let fleet =
+        Fleet::start(Plan { program, figures, seed, lie: options.lie, talk: options.talk, folder }).await?;
     let zero = Instant::now() + SETTLE;
     fleet.history.begin(zero);
     sleep_until(zero.into()).await;
--- /dev/null
+++ b/crates/drill/src/talk.rs
@@ -0,0 +1,247 @@
+//! Fleets whose copies talk: keepers with disks, a link from each copy to each keeper, and the second address of each.
+
+use crate::fleet::{system, Ends, Fleet, NoDrill};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, Instant};
+
+/// Longest wait for an answer of a second address: it promises one within two seconds; and for what a copy tells of itself.
+const ANSWER: Duration = Duration::from_secs(3);
+const OWN_ANSWER: Duration = Duration::from_millis(250);
+/// Between two looks at a copy.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// How the copies of a drill talk.
+#[derive(Clone, Debug, Default)]
+pub struct Talk {
+    /// The first so many proxies are keepers.
+    pub keepers: usize,
+    /// Lines of the section `[fleet]` beside those that name addresses, then whole tables.
+    pub section: String,
+}
+
+impl Talk {
+    /// Whether a proxy is a keeper.
+    pub fn is_keeper(&self, process: usize) -> bool {
+        process < self.keepers
+    }
+
+    /// The operator file of a proxy. `keepers` is what it reaches each keeper by.
+    pub fn file(
+        &self,
+        process: usize,
+        keepers: &[SocketAddr],
+        listen: Option<SocketAddr>,
+        disk: &Path,
+    ) -> String {
+        let keepers: Vec<String> = keepers.iter().map(|keeper| format!("\"{keeper}\"")).collect();
+        let mut text = format!("[fleet]\nname = \"drill\"\nkeepers = [{}]\n", keepers.join(", "));
+        if let Some(listen) = listen {
+            text += &format!(
+                "keeper = {process}\nlisten = \"{listen}\"\ndisk = {:?}\n",
+                disk.display().to_string()
+            );
+        }
+        text + &self.section
+    }
+}
+
+/// A line of the record that a copy writes of its acts for the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Act {
+    /// Which process.
+    pub process: usize,
+    /// One of its lives.
+    pub life: u64,
+    /// When, by the machine's clock, in milliseconds.
+    pub at: u64,
+    /// What: holds, lost or carried out.
+    pub what: String,
+    /// Which duty.
+    pub duty: String,
+    /// By which token.
+    pub token: u64,
+    /// The part that was ordered.
+    pub part: Option<u64>,
+}
+
+impl Fleet {
+    /// Says a line on a copy's second address; `None` if it does not answer.
+    pub async fn line(&self, process: usize, line: &str) -> Option<String> {
+        self.line_within(process, line, ANSWER).await
+    }
+
+    async fn line_within(&self, process: usize, line: &str, within: Duration) -> Option<String> {
+        let asked = async {
+            let mut stream = TcpStream::connect(self.processes[process].admin).await?;
+            stream.write_all(format!("{line}\n").as_bytes()).await?;
+            let mut text = String::new();
+            stream.read_to_string(&mut text).await?;
+            Ok::<_, std::io::Error>(text)
+        };
+        timeout(within, asked).await.ok()?.ok().filter(|text| !text.is_empty())
+    }
+
+    /// Waits until a copy's answer to a line is as wanted, and gives it; the last one as an error after so long.
+    pub async fn until(
+        &self,
+        process: usize,
+        line: &str,
+        within: Duration,
+        wanted: impl Fn(&str) -> bool,
+    ) -> Result<String, String> {
+        let end = Instant::now() + within;
+        loop {
+            let text = self.line(process, line).await.unwrap_or_default();
+            if wanted(&text) {
+                return Ok(text);
+            }
+            if Instant::now() > end {
+                return Err(format!("{} says to {line}: {text:?}", self.processes[process].name));
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// The copy that may act by a duty, and its token, as the copies say themselves; `None` if it is none or several.
+    pub async fn owner(&self, duty: &str) -> Option<(usize, u64)> {
+        let mut found = None;
+        for process in 0..self.processes.len() {
+            if !self.processes[process].runs.get() || !self.talks_as_keeper(process) {
+                continue;
+            }
+            let text = self.line_within(process, "FLEET", OWN_ANSWER).await.unwrap_or_default();
+            let prefix = format!("holds {duty} token ");
+            let token = text.lines().find_map(|line| line.strip_prefix(&prefix)?.parse().ok());
+            match (token, found) {
+                (Some(token), None) => found = Some((process, token)),
+                (Some(_), Some(_)) => return None,
+                (None, _) => {}
+            }
+        }
+        found
+    }
+
+    /// Waits until somebody other than those named owns a duty.
+    pub async fn new_owner(
+        &self,
+        duty: &str,
+        not: &[usize],
+        within: Duration,
+    ) -> Result<(usize, u64), String> {
+        let end = Instant::now() + within;
+        loop {
+            if let Some(owner) = self.owner(duty).await.filter(|(process, _)| !not.contains(process)) {
+                return Ok(owner);
+            }
+            if Instant::now() > end {
+                return Err(format!("nobody but {not:?} owns {duty} after {within:?}"));
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    fn talks_as_keeper(&self, process: usize) -> bool {
+        self.talk.as_ref().is_some_and(|talk| talk.is_keeper(process))
+    }
+
+    /// Where a keeper's disk is.
+    pub fn disk(&self, process: usize) -> PathBuf {
+        self.processes[process].folder().join("disk")
+    }
+
+    /// Takes a keeper's disk away; gives what was on it.
+    pub fn take_disk(&self, process: usize) -> Result<Vec<u8>, NoDrill> {
+        let path = self.disk(process).join(format!("keeper-{process}.redb"));
+        let bytes = std::fs::read(&path).map_err(system(path.display().to_string()))?;
+        std::fs::remove_file(&path).map_err(system(path.display().to_string()))?;
+        Ok(bytes)
+    }
+
+    /// What is on a keeper's disk now, whether it runs or not.
+    pub fn read_disk(&self, process: usize) -> Result<Vec<u8>, NoDrill> {
+        let path = self.disk(process).join(format!("keeper-{process}.redb"));
+        std::fs::read(&path).map_err(system(path.display().to_string()))
+    }
+
+    /// Puts bytes in its place.
+    pub fn put_disk(&self, process: usize, bytes: &[u8]) -> Result<(), NoDrill> {
+        let path = self.disk(process).join(format!("keeper-{process}.redb"));
+        std::fs::write(&path, bytes).map_err(system(path.display().to_string()))
+    }
+
+    /// All acts that the copies wrote down, in the order of the machine's clock.
+    pub fn acts(&self) -> Vec<Act> {
+        let mut acts = Vec::new();
+        for process in &self.processes {
+            let text = std::fs::read_to_string(process.log()).unwrap_or_default();
+            acts.extend(text.lines().filter_map(|line| act(process.number, line)));
+        }
+        acts.sort_by_key(|act| act.at);
+        acts
+    }
+}
+
+fn act(process: usize, line: &str) -> Option<Act> {
+    let value: serde_json::Value = serde_json::from_str(line).ok()?;
+    let fields = value.get("fields").unwrap_or(&value);
+    let what = fields.get("message")?.as_str()?.strip_prefix("fleet ")?;
+    let number = |name: &str| fields.get(name).and_then(serde_json::Value::as_u64);
+    Some(Act {
+        process,
+        life: number("life")?,
+        at: number("at")?,
+        what: what.to_owned(),
+        duty: fields.get("duty")?.as_str()?.to_owned(),
+        token: number("token")?,
+        part: number("part"),
+    })
+}
+
+/// What the acts of a fleet break, if anything: a duty's tokens that fall at one life of an executor, two copies that held
+/// one token, a site that is away while another is, and an old owner's order that was carried out after a newer one's at
+/// the same copy.
+pub fn judge(acts: &[Act]) -> Vec<String> {
+    use std::collections::BTreeMap;
+    let mut wrong = Vec::new();
+    let mut highest: BTreeMap<(usize, u64, &str), u64> = BTreeMap::new();
+    let mut holders: BTreeMap<(&str, u64), (usize, u64)> = BTreeMap::new();
+    let mut away: BTreeMap<(usize, u64), BTreeMap<&str, u64>> = BTreeMap::new();
+    for act in acts {
+        match act.what.as_str() {
+            "carried out" => {
+                let known = highest.entry((act.process, act.life, &act.duty)).or_default();
+                if act.token < *known {
+                    wrong.push(format!("tokens fell from {known} at {act:?}"));
+                }
+                *known = (*known).max(act.token);
+                let parts = away.entry((act.process, act.life)).or_default();
+                parts.insert(&act.duty, act.part.unwrap_or(1_000));
+                if parts.values().filter(|part| **part < 1_000).count() > 1 {
+                    wrong.push(format!("two sites away: {parts:?} at {act:?}"));
+                }
+            }
+            "holds" => {
+                let own = (act.process, act.life);
+                if *holders.entry((&act.duty, act.token)).or_insert(own) != own {
+                    wrong.push(format!("one token, two holders: {act:?}"));
+                }
+            }
+            _ => {}
+        }
+    }
+    wrong
+}
+
+/// Links between copies and keepers, for faults: those of a process to all keepers, or those to one keeper's process.
+pub fn from_process(of: usize) -> impl Fn(Ends) -> bool + Copy {
+    move |ends| matches!(ends, Ends::Keeper { process, .. } if process == of)
+}
+
+/// See [`from_process`].
+pub fn to_keeper(of: usize) -> impl Fn(Ends) -> bool + Copy {
+    move |ends| matches!(ends, Ends::Keeper { slot, .. } if slot == of)
+}
--- /dev/null
+++ b/crates/freeze/src/lib.rs
@@ -0,0 +1,25 @@
+//! What the fleet may change on purpose, and when. Decisions without I/O and without clocks: what runs out is proposed
+//! by a keeper that has waited, as with leases.
+//!
+//! - [`scope`]: what a change or an incident touches, and whether two of them meet.
+//! - [`rules`]: which changes an incident bars; the one table of precedence.
+//! - [`register`]: the state that the keepers agree on. What must never be wrong is held here, whatever any coordinator
+//!   believes: no permit while it conflicts, no two in flight whose scopes meet, no incident forgotten.
+//! - [`detect`]: what a coordinator makes of the copies' reports.
+
+pub mod detect;
+pub mod register;
+pub mod rules;
+pub mod scope;
+
+/// A length of time, in milliseconds.
+pub type Millis = u64;
+
+/// Most bytes of a name that comes from outside.
+pub const NAME_MOST: usize = 64;
+
+/// Whether a name may stand in the state: it is bounded and prints on one line.
+pub fn is_name(name: &str) -> bool {
+    let fits = |c: char| c.is_alphanumeric() || "-._/@".contains(c);
+    !name.is_empty() && name.len() <= NAME_MOST && name.chars().all(fits)
+}
--- /dev/null
+++ b/crates/freeze/src/scope.rs
@@ -0,0 +1,91 @@
+//! What a change or an incident touches.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+
+/// A part of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Scope {
+    /// All of it.
+    Fleet,
+    /// A site.
+    Site(String),
+    /// A tier, over all sites.
+    Tier(String),
+    /// A class of calls.
+    Class(String),
+    /// A tenant.
+    Tenant(String),
+    /// One copy, and the site it stands in.
+    Copy {
+        /// Its site.
+        site: String,
+        /// Its place in the fleet.
+        rank: u32,
+    },
+}
+
+/// A text that names no part of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is no scope: fleet, site:NAME, tier:NAME, class:NAME, tenant:NAME or copy:SITE/RANK")]
+pub struct BadScope(String);
+
+impl Scope {
+    /// Whether something may lie in both. Two parts are apart only where that is certain: a tier and a site meet, as the
+    /// tier has servers there, and so do a class and a tenant.
+    pub fn meets(&self, other: &Scope) -> bool {
+        match (self, other) {
+            (Scope::Site(a), Scope::Site(b))
+            | (Scope::Tier(a), Scope::Tier(b))
+            | (Scope::Class(a), Scope::Class(b))
+            | (Scope::Tenant(a), Scope::Tenant(b)) => a == b,
+            (Scope::Site(a), Scope::Copy { site, .. }) | (Scope::Copy { site, .. }, Scope::Site(a)) => {
+                a == site
+            }
+            (Scope::Copy { .. }, Scope::Copy { .. }) => self == other,
+            _ => true,
+        }
+    }
+}
+
+impl FromStr for Scope {
+    type Err = BadScope;
+
+    fn from_str(text: &str) -> Result<Scope, BadScope> {
+        let bad = || BadScope(text.chars().take(crate::NAME_MOST).collect());
+        if text == "fleet" {
+            return Ok(Scope::Fleet);
+        }
+        let (kind, name) = text.split_once(':').ok_or_else(bad)?;
+        if !crate::is_name(name) {
+            return Err(bad());
+        }
+        let own = name.to_owned();
+        match kind {
+            "site" => Ok(Scope::Site(own)),
+            "tier" => Ok(Scope::Tier(own)),
+            "class" => Ok(Scope::Class(own)),
+            "tenant" => Ok(Scope::Tenant(own)),
+            "copy" => {
+                let (site, rank) = name.rsplit_once('/').ok_or_else(bad)?;
+                let rank = rank.parse().map_err(|_| bad())?;
+                Some(Scope::Copy { site: site.to_owned(), rank }).filter(|_| !site.is_empty()).ok_or_else(bad)
+            }
+            _ => Err(bad()),
+        }
+    }
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Scope::Fleet => f.write_str("fleet"),
+            Scope::Site(name) => write!(f, "site:{name}"),
+            Scope::Tier(name) => write!(f, "tier:{name}"),
+            Scope::Class(name) => write!(f, "class:{name}"),
+            Scope::Tenant(name) => write!(f, "tenant:{name}"),
+            Scope::Copy { site, rank } => write!(f, "copy:{site}/{rank}"),
+        }
+    }
+}
--- a/crates/hillstall/src/admin.rs
+++ b/crates/hillstall/src/admin.rs
@@ -17,7 +17,7 @@
 /// Longest wait for a call and for the reading of its answer.
 const CALL_TIME: Duration = Duration::from_secs(2);
 /// Longest line, its end included.
-const LINE_MOST: usize = 128;
+const LINE_MOST: usize = 256;
 /// How much more than its line is read of a caller, so that the answer is not lost to a reset.
 const MORE_MOST: usize = 64 * 1024;
 
@@ -31,6 +31,8 @@
     pub driver: Rc<Driver<Upstream>>,
     /// Knows whether clients can be served.
     pub server: Rc<Server>,
+    /// The fleet's part, where it is on.
+    pub fleet: Option<Rc<hillstall_fleet::Handle>>,
 }
 
 impl Admin {
@@ -77,7 +79,17 @@
             }
         };
         let answer = match whole {
-            Some(line) => self.answer(line.strip_suffix(b"\r").unwrap_or(line)),
+            Some(line) => {
+                let line = line.strip_suffix(b"\r").unwrap_or(line);
+                let text = std::str::from_utf8(line).unwrap_or_default();
+                match self.fleet.as_ref().and_then(|fleet| fleet.line(text)) {
+                    // The fleet's part has failed, and calls go on.
+                    Some(answer) => {
+                        answer.await.unwrap_or_else(|_| "500 the fleet's part has ended\n".into())
+                    }
+                    None => self.answer(line),
+                }
+            }
             None => "400 the line is too long\n".to_string(),
         };
         stream.write_all(answer.as_bytes()).await?;
--- a/crates/hillstall/src/main.rs
+++ b/crates/hillstall/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod demo;
 mod drill;
+mod fleet;
 mod handover;
 mod lab;
 mod logs;
@@ -57,6 +58,8 @@
     let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let settings = config.settings.clone();
+    let (fleet, hints) = fleet::start(operator.fleet.as_ref(), &settings)?.unzip();
+    let fleet = fleet.map(Rc::new);
     let allowed = &settings.allowed;
     let limits = Limits::new(config.sockets, config.memory_mb);
     limits.tune(keys::tuning(&operator));
@@ -87,12 +90,18 @@
     let state = (lifecycle.clone(), metrics.clone());
     let server = Server::new(driver.clone(), upstream, limits, state, &settings, knows_some);
     if let Some(listener) = admin {
-        let admin = Admin { lifecycle: lifecycle.clone(), metrics, driver, server: server.clone() };
+        let (lifecycle, metrics, driver) = (lifecycle.clone(), metrics.clone(), driver.clone());
+        let admin = Admin { lifecycle, metrics, driver, server: server.clone(), fleet: fleet.clone() };
         spawn_local(Rc::new(admin).serve(listener));
     }
     if handover.has_older() {
         server.share_with(1);
     }
+    if let Some((fleet, hints)) = fleet.clone().zip(hints) {
+        let calls =
+            fleet::Calls { driver: driver.clone(), metrics: metrics.clone(), lifecycle: lifecycle.clone() };
+        calls.join(fleet, hints, &settings);
+    }
     handover.start(server.clone());
     spawn_local(server.clone().tidy());
     let listener = match early {
@@ -113,7 +122,13 @@
     lifecycle.serve();
     spawn_local(server.clone().accept(listener));
     term.recv().await;
-    server.stop(handover.has_newer()).await;
+    // Others have its duties while it still ends what it has taken.
+    let leave = async {
+        if let Some(fleet) = &fleet {
+            fleet.leave().await;
+        }
+    };
+    tokio::join!(server.stop(handover.has_newer()), leave);
     handover.leave();
     Ok(())
 }
--- a/crates/hillstall/src/operator/file.rs
+++ b/crates/hillstall/src/operator/file.rs
@@ -30,10 +30,32 @@
     // What a broken line was taken for is not to be told as a second fault.
     if wrong.is_empty() {
         walk(path, &text, "", table.get_ref(), set, &mut wrong);
+        wrong.extend(fleet(path).err().unwrap_or_default());
     }
     wrong
 }
 
+/// The section of the fleet, if the file has one.
+pub fn fleet(path: &Path) -> Result<Option<hillstall_fleet::settings::Settings>, Vec<Wrong>> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| vec![Wrong::Unreadable(path.display().to_string(), e.to_string())])?;
+    let told = |wrong: Vec<hillstall_fleet::settings::Wrong>| {
+        let told = wrong.into_iter().map(|w| Wrong::Value {
+            origin: at(path, line_of(&text, w.at)),
+            key: w.key,
+            why: w.why,
+        });
+        told.collect::<Vec<_>>()
+    };
+    let Some(read) = hillstall_fleet::settings::read(&text).map_err(told)? else { return Ok(None) };
+    // The sites are the platform's to tell, so they are checked where both are known.
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    match read.contradictions(&[], now) {
+        wrong if wrong.is_empty() => Ok(Some(read)),
+        wrong => Err(told(wrong)),
+    }
+}
+
 fn walk(
     path: &Path,
     text: &str,
@@ -43,6 +65,10 @@
     wrong: &mut Vec<Wrong>,
 ) {
     for (name, value) in table {
+        // Read as a whole by the fleet's own reader.
+        if before.is_empty() && name.get_ref() == "fleet" {
+            continue;
+        }
         let key = format!("{before}{}", name.get_ref());
         let origin = at(path, line_of(text, name.span().start));
         match value.get_ref() {
--- a/crates/hillstall/src/operator/mod.rs
+++ b/crates/hillstall/src/operator/mod.rs
@@ -74,6 +74,8 @@
 /// What is in force.
 #[derive(Clone, Debug)]
 pub struct Operator {
+    /// The section of the fleet, where the file has one.
+    pub fleet: Option<hillstall_fleet::settings::Settings>,
     values: BTreeMap<&'static str, (Value, Origin)>,
 }
 
@@ -141,7 +143,8 @@
             }
         }
         unreadable.append(&mut wrong);
-        let operator = Operator { values };
+        let fleet = sources.file.as_ref().and_then(|path| file::fleet(path).ok().flatten());
+        let operator = Operator { fleet, values };
         if unreadable.is_empty() {
             if let Some((name, why)) = keys::between(&operator) {
                 let origin = operator.values[name].1.clone();
--- a/crates/hillstall/src/operator/value.rs
+++ b/crates/hillstall/src/operator/value.rs
@@ -104,7 +104,7 @@
     ["GiB", "MiB", "KiB"]
         .iter()
         .zip([30, 20, 10])
-        .find(|(_, shift)| bytes > 0 && bytes % (1 << shift) == 0)
+        .find(|(_, shift)| bytes > 0 && bytes.is_multiple_of(1 << shift))
         .map_or_else(|| format!("{bytes}B"), |(unit, shift)| format!("{}{unit}", bytes >> shift))
 }
 
--- /dev/null
+++ b/crates/hillstall/tests/fleet/main.rs
@@ -0,0 +1,11 @@
+//! What the copies of a fleet do together: whole fleets of real processes under real calls, with faults between them. Each
+//! drill is judged by what the copies say and by the record that they write of their acts, and the rules on calls are held
+//! to as in every drill.
+
+mod freeze;
+#[path = "../drill/harness.rs"]
+#[allow(dead_code)]
+mod harness;
+mod owners;
+mod talking;
+mod windows;
--- /dev/null
+++ b/crates/hillstall/tests/fleet/talking.rs
@@ -0,0 +1,102 @@
+//! Plays a drill with a script, and judges its record.
+
+use crate::harness::{drill_with, Played};
+use hillstall_drill::fleet::{Ends, Fleet};
+use hillstall_drill::link::Fault;
+use hillstall_drill::run::Script;
+use hillstall_drill::talk::{judge, Act, Talk};
+use hillstall_drill::Options;
+use std::cell::RefCell;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Far above what any step takes; past it a drill fails with what the copies said last.
+pub const SOON: Duration = Duration::from_secs(8);
+
+pub const COORDINATOR: &str = "freeze/coordinator";
+
+/// What a script comes to.
+pub type Told = Result<(), String>;
+
+/// A drill of copies that talk.
+pub struct Talked {
+    pub played: Played,
+    pub acts: Vec<Act>,
+}
+
+/// Plays a scenario; the script has to come to its end, and the record and the rules have to be kept.
+pub fn talk<F>(
+    name: &str,
+    keepers: usize,
+    section: &str,
+    script: impl Fn(Rc<Fleet>) -> F + Clone + 'static,
+) -> Talked
+where
+    F: Future<Output = Told> + 'static,
+{
+    let told = play(name, keepers, section, script);
+    let wrong = judge(&told.acts);
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    told.played.keeps_the_rules();
+    told
+}
+
+fn play<F>(
+    name: &str,
+    keepers: usize,
+    section: &str,
+    script: impl Fn(Rc<Fleet>) -> F + Clone + 'static,
+) -> Talked
+where
+    F: Future<Output = Told> + 'static,
+{
+    let came: Rc<RefCell<(Option<Told>, Vec<Act>)>> = Rc::default();
+    let played = drill_with(name, 1, || {
+        let (script, came) = (script.clone(), came.clone());
+        came.replace((None, Vec::new()));
+        let whole: Script = Box::new(move |fleet| {
+            Box::pin(async move {
+                let told = script(fleet.clone()).await;
+                came.replace((Some(told), fleet.acts()));
+            })
+        });
+        let talk = Some(Talk { keepers, section: section.to_owned() });
+        Options { script: Some(whole), talk, ..Options::default() }
+    });
+    let (told, acts) = came.take();
+    match told {
+        Some(Ok(())) => Talked { played, acts },
+        Some(Err(why)) => panic!("{name}: {why}"),
+        None => panic!("{name}: the script did not come to its end"),
+    }
+}
+
+/// Fails a script with words.
+pub fn sure(so: bool, why: impl FnOnce() -> String) -> Told {
+    if so {
+        Ok(())
+    } else {
+        Err(why())
+    }
+}
+
+/// Does something to a fleet's links, and sees that it bites: what passed before, and nothing while it lasts.
+pub fn cut(fleet: &Fleet, fault: Fault, which: impl Fn(Ends) -> bool + Copy) -> Told {
+    let passed = fleet.passed(which);
+    fleet.set(fault, which);
+    sure(passed.forth > 0, || "nothing passed over the links that were to be cut".into())
+}
+
+/// Waits until all copies know the state and all gates are open.
+pub async fn settled(fleet: &Fleet) -> Told {
+    for process in 0..fleet.processes.len() {
+        fleet.until(process, "FLEET", SOON, |text| text.contains("gates open")).await?;
+    }
+    fleet.new_owner(COORDINATOR, &[], SOON).await.map(|_| ())
+}
+
+/// The time since, in milliseconds, for what was measured.
+pub fn since(at: Instant) -> u64 {
+    at.elapsed().as_millis() as u64
+}
--- a/crates/lab/src/scenarios.rs
+++ b/crates/lab/src/scenarios.rs
@@ -9,7 +9,7 @@
     };
 }
 
-const ALL: [(&str, &str); 17] = [
+const ALL: [(&str, &str); 19] = [
     ("lose-hall", include_str!("../scenarios/lose-hall.toml")),
     ("hot-copies", include_str!("../scenarios/hot-copies.toml")),
     ("half-lost", include_str!("../scenarios/half-lost.toml")),
@@ -22,6 +22,8 @@
     ("drill-kill", drill!("drill-kill.toml")),
     ("drill-roll", drill!("drill-roll.toml")),
     ("drill-stop", drill!("drill-stop.toml")),
+    ("drill-duties", drill!("drill-duties.toml")),
+    ("drill-window", drill!("drill-window.toml")),
     ("drill-list", drill!("drill-list.toml")),
     ("drill-flood", drill!("drill-flood.toml")),
     ("drill-burst", drill!("drill-burst.toml")),
--- a/crates/lease/src/book.rs
+++ b/crates/lease/src/book.rs
@@ -61,6 +61,9 @@
         copy: Copy,
         /// By which grant.
         token: Token,
+        /// The renewals of it that the holder has heard of. One that is heard and hears nothing renews once more at the
+        /// most: else it would keep for ever what it can't act by.
+        heard: u64,
     },
     /// The holder goes, and the next one in line has it in the same instant; also one that stands and would no more.
     Leave {
@@ -111,6 +114,9 @@
         /// The highest token given out for the duty.
         newest: Token,
     },
+    /// It was renewed since, and the holder does not know.
+    #[error("there was a renewal that the holder has not heard of")]
+    Unheard,
     /// There are as many duties as a fleet may have.
     #[error("a fleet has at most {DUTIES_MOST} duties")]
     Duties,
@@ -137,9 +143,12 @@
         };
         let over = Err(Refused::Over { newest: entry.last });
         match (command, &mut entry.grant) {
-            (Command::Renew { copy, token, .. }, Some(grant))
+            (Command::Renew { copy, token, heard, .. }, Some(grant))
                 if grant.holder == *copy && grant.token == *token =>
             {
+                if *heard != grant.renewals {
+                    return Err(Refused::Unheard);
+                }
                 grant.renewals += 1;
             }
             (Command::Leave { copy, .. }, Some(grant)) if grant.holder == *copy => {
--- a/crates/lease/src/hold.rs
+++ b/crates/lease/src/hold.rs
@@ -23,6 +23,8 @@
     held: Option<Held>,
     /// Given to this copy, and not renewed yet.
     found: Option<Token>,
+    /// The renewals of its grant that it has heard of.
+    renewals: u64,
     /// Grants up to this one are over, whatever a late answer says.
     over: Token,
     ask_at: Millis,
@@ -39,6 +41,7 @@
             terms,
             held: None,
             found: None,
+            renewals: 0,
             over: Token::default(),
             ask_at: now,
             leaving: false,
@@ -63,9 +66,9 @@
         let (duty, copy) = (self.duty.clone(), self.copy);
         Some(match self.held {
             _ if self.leaving => Command::Leave { duty, copy },
-            Some(held) => Command::Renew { duty, copy, token: held.token },
+            Some(held) => Command::Renew { duty, copy, token: held.token, heard: self.renewals },
             None => match self.found {
-                Some(token) => Command::Renew { duty, copy, token },
+                Some(token) => Command::Renew { duty, copy, token, heard: self.renewals },
                 None => Command::Stand { duty, copy, rank: self.rank },
             },
         })
@@ -76,6 +79,12 @@
         self.expire(now);
         match grant {
             Some(grant) if grant.holder == self.copy && grant.token > self.over && !self.leaving => {
+                let known = self.held.map(|held| held.token).max(self.found);
+                if known.is_none_or(|known| known < grant.token) {
+                    self.renewals = grant.renewals;
+                } else if known == Some(grant.token) {
+                    self.renewals = self.renewals.max(grant.renewals);
+                }
                 if self.held.is_none() && self.found.is_none_or(|found| found < grant.token) {
                     self.found = Some(grant.token);
                     self.ask_at = now;
--- a/crates/lease/tests/fleet.rs
+++ b/crates/lease/tests/fleet.rs
@@ -207,7 +207,14 @@
                     Command::Renew { token, .. } => Some(token),
                     _ => None,
                 };
-                let answer = self.book.apply(&command).map_err(|_| self.book.floor(&duty()));
+                let applied = self.book.apply(&command);
+                // One whose last answer was lost is told the grant as it is, and renews from there.
+                let unheard = applied == Err(hillstall_lease::book::Refused::Unheard);
+                let renews = renews.filter(|_| !unheard);
+                let answer = match unheard {
+                    true => Ok(self.book.grant(&duty())),
+                    false => applied.map_err(|_| self.book.floor(&duty())),
+                };
                 self.send(move || Happens::Answer(copy, asked_at, renews, answer));
             }
             Happens::Answer(copy, asked_at, renews, answer) => {
@@ -221,7 +228,10 @@
                 let asked_at = if self.fault == Fault::FromAnswer { local } else { asked_at };
                 match (answer, renews) {
                     (Err(newest), _) => one.hold.refused(newest),
-                    (Ok(_), Some(token)) => one.hold.renewed(local, asked_at, token),
+                    (Ok(grant), Some(token)) => {
+                        one.hold.renewed(local, asked_at, token);
+                        one.hold.heard(local, grant);
+                    }
                     (Ok(grant), None) => one.hold.heard(local, grant),
                 }
             }
--- /dev/null
+++ b/crates/maintenance/src/machine.rs
@@ -0,0 +1,390 @@
+//! The states of a window. A window's permit is asked for in the same command that admits it, so no incident can open
+//! between the two; and no command makes two sites be away at once.
+
+use crate::{Millis, Part, WHOLE};
+use hillstall_freeze::register::{self as freeze, Answer, Number, Register, Stand, Wish};
+use hillstall_freeze::rules::{Kind, Reaction};
+use hillstall_freeze::scope::Scope;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Most windows that are kept; ended ones go first.
+pub const WINDOWS_MOST: usize = 256;
+
+/// What happens when the time is over and nobody has said that the work is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Overrun {
+    /// The site stays away until people say that it may come back.
+    Hold,
+    /// It comes back.
+    Return,
+}
+
+/// A window as it was planned.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Plan {
+    /// The site.
+    pub site: String,
+    /// When people may begin to work, in Unix time.
+    pub begin: Millis,
+    /// For how long.
+    pub length: Millis,
+    /// How long before the beginning the shift may start.
+    pub lead: Millis,
+    /// How much later than planned it may begin.
+    pub latest: Millis,
+    /// The part of their capacity that the other sites must keep free, in hundredths.
+    pub reserve: u8,
+    /// See there.
+    pub overrun: Overrun,
+}
+
+/// Where a window stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Stage {
+    /// Its time has not come.
+    Planned,
+    /// It has its permit; nothing was shifted yet.
+    Admitted,
+    /// The site's load moves away.
+    Shifting,
+    /// Next to nothing comes to the site any more.
+    Empty,
+    /// People work there.
+    Running,
+    /// The site's load comes back.
+    Returning,
+    /// It is over.
+    Done,
+    /// It could not begin in time.
+    Postponed,
+    /// Somebody has called it off before it began.
+    Cancelled,
+}
+
+impl Stage {
+    /// Whether the site has less than its usual load, or may have from one instant to the next.
+    pub fn is_away(self) -> bool {
+        (Stage::Admitted..=Stage::Returning).contains(&self)
+    }
+
+    /// Whether nothing comes after it.
+    pub fn is_over(self) -> bool {
+        self >= Stage::Done
+    }
+}
+
+impl fmt::Display for Stage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Stage::Planned => "planned",
+            Stage::Admitted => "admitted",
+            Stage::Shifting => "shifting",
+            Stage::Empty => "empty",
+            Stage::Running => "running",
+            Stage::Returning => "returning",
+            Stage::Done => "done",
+            Stage::Postponed => "postponed",
+            Stage::Cancelled => "cancelled",
+        })
+    }
+}
+
+/// A window, and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Window {
+    /// As it was planned.
+    pub plan: Plan,
+    /// Where it stands.
+    pub stage: Stage,
+    /// The part of its usual load that the site is to get.
+    pub part: Part,
+    /// The site's calls in a thousand seconds, before anything was shifted.
+    pub usual: u64,
+    /// Its permit.
+    pub change: Option<Number>,
+    /// Its time is over, and people are still at work.
+    pub overrun: bool,
+    /// Why it was postponed, cancelled or aborted.
+    pub why: String,
+}
+
+/// What is proposed to the keepers. A window is named by its number.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Command {
+    /// A person or the calendar plans one. The same one twice is one.
+    Plan(Plan),
+    /// A person calls it off; one that has begun comes back first.
+    Cancel {
+        /// Which.
+        window: Number,
+    },
+    /// A person says that the work is over.
+    End {
+        /// Which.
+        window: Number,
+    },
+    /// The owner: it has been looked at, and the others can bear it.
+    Admit {
+        /// Which.
+        window: Number,
+        /// See [`Window::usual`].
+        usual: u64,
+    },
+    /// The owner: it can't begin in time, or must not begin.
+    Postpone {
+        /// Which.
+        window: Number,
+        /// Why.
+        why: String,
+    },
+    /// The owner: the site is to get this part, less than before.
+    Step {
+        /// Which.
+        window: Number,
+        /// Which part.
+        part: Part,
+    },
+    /// The owner: nothing comes there any more.
+    Emptied {
+        /// Which.
+        window: Number,
+    },
+    /// The owner: people may begin.
+    Begin {
+        /// Which.
+        window: Number,
+    },
+    /// The owner: its time is over, and it stays away.
+    Overran {
+        /// Which.
+        window: Number,
+    },
+    /// The owner: the site is to get this part, more than before. Given with a reason where it is an abort.
+    Return {
+        /// Which.
+        window: Number,
+        /// Which part.
+        part: Part,
+        /// Why before its time, if so.
+        why: Option<String>,
+    },
+    /// The owner: the site has all of its load again.
+    Finish {
+        /// Which.
+        window: Number,
+    },
+}
+
+impl Command {
+    /// Whether only the owner of the site's shift may propose it.
+    pub fn is_owners(&self) -> bool {
+        !matches!(self, Command::Plan(_) | Command::Cancel { .. } | Command::End { .. })
+    }
+
+    fn window(&self) -> Option<Number> {
+        match self {
+            Command::Plan(_) => None,
+            Command::Cancel { window }
+            | Command::End { window }
+            | Command::Admit { window, .. }
+            | Command::Postpone { window, .. }
+            | Command::Step { window, .. }
+            | Command::Emptied { window }
+            | Command::Begin { window }
+            | Command::Overran { window }
+            | Command::Return { window, .. }
+            | Command::Finish { window } => Some(*window),
+        }
+    }
+}
+
+/// Why nothing came of a command.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// There is no such window.
+    #[error("there is no window of that number")]
+    Unknown,
+    /// The command does not lead on from where the window stands.
+    #[error("the window is {0}")]
+    Stage(Stage),
+    /// Another site is away.
+    #[error("window {0} has its site away")]
+    OtherAway(Number),
+    /// The part does not go the way that the command says.
+    #[error("a site that gets {from} in a thousand can't go to {to} this way")]
+    Part {
+        /// Before.
+        from: Part,
+        /// Asked for.
+        to: Part,
+    },
+    /// It has no permit, or has to react to an incident.
+    #[error("no permit: {0}")]
+    NoPermit(String),
+    /// There are as many windows as may be.
+    #[error("there are {WINDOWS_MOST} windows")]
+    Full,
+    /// A plan that can't be carried out.
+    #[error("{0}")]
+    Plan(&'static str),
+}
+
+/// All windows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Windows {
+    count: Number,
+    all: BTreeMap<Number, Window>,
+}
+
+impl Windows {
+    /// Applies what the keepers have agreed on.
+    pub fn apply(&mut self, command: &Command, register: &mut Register) -> Result<(), Refused> {
+        if let Command::Plan(plan) = command {
+            return self.plan(plan);
+        }
+        let number = command.window().ok_or(Refused::Unknown)?;
+        let away = self.all.iter().find(|(n, w)| **n != number && w.stage.is_away()).map(|(n, _)| *n);
+        let window = self.all.get_mut(&number).ok_or(Refused::Unknown)?;
+        let wrong = Err(Refused::Stage(window.stage));
+        match (command, window.stage) {
+            (Command::Cancel { .. }, Stage::Planned | Stage::Admitted) => {
+                window.end(Stage::Cancelled, "called off", register)
+            }
+            (Command::Cancel { .. }, Stage::Shifting | Stage::Empty | Stage::Running) => {
+                (window.stage, window.why) = (Stage::Returning, "called off".into());
+            }
+            (Command::End { .. }, Stage::Empty | Stage::Running) => window.stage = Stage::Returning,
+            (Command::Admit { usual, .. }, Stage::Planned) => {
+                if let Some(other) = away {
+                    return Err(Refused::OtherAway(other));
+                }
+                window.change = Some(permit(&window.plan, register)?);
+                (window.stage, window.usual) = (Stage::Admitted, *usual);
+            }
+            (Command::Postpone { why, .. }, Stage::Planned | Stage::Admitted) => {
+                window.end(Stage::Postponed, why, register)
+            }
+            (Command::Step { part, .. }, Stage::Admitted | Stage::Shifting) => {
+                window.may_go_on(register)?;
+                if *part >= window.part {
+                    return Err(Refused::Part { from: window.part, to: *part });
+                }
+                (window.stage, window.part) = (Stage::Shifting, *part);
+            }
+            (Command::Emptied { .. }, Stage::Shifting) if window.part == 0 => window.stage = Stage::Empty,
+            (Command::Begin { .. }, Stage::Empty) => {
+                window.may_go_on(register)?;
+                window.stage = Stage::Running;
+            }
+            (Command::Overran { .. }, Stage::Running) => window.overrun = true,
+            (
+                Command::Return { part, why, .. },
+                Stage::Shifting | Stage::Empty | Stage::Running | Stage::Returning,
+            ) => {
+                if *part < window.part || *part > WHOLE {
+                    return Err(Refused::Part { from: window.part, to: *part });
+                }
+                (window.stage, window.part) = (Stage::Returning, *part);
+                if let Some(why) = why.as_ref().filter(|_| window.why.is_empty()) {
+                    window.why = why.chars().take(200).collect();
+                }
+            }
+            (Command::Finish { .. }, Stage::Returning) if window.part == WHOLE => {
+                let why = window.why.clone();
+                window.end(Stage::Done, &why, register);
+            }
+            _ => return wrong,
+        }
+        Ok(())
+    }
+
+    fn plan(&mut self, plan: &Plan) -> Result<(), Refused> {
+        if !hillstall_freeze::is_name(&plan.site) {
+            return Err(Refused::Plan(
+                "a site's name has 1 to 64 letters, digits, '-', '.', '_', '/' or '@'",
+            ));
+        }
+        if plan.length == 0 || plan.length > freeze::RUNS_MOST / 2 || plan.lead > freeze::RUNS_MOST / 4 {
+            return Err(Refused::Plan("a window lasts up to 12 hours, and its lead up to 6"));
+        }
+        if plan.reserve > 90 {
+            return Err(Refused::Plan("a reserve is at most 90 in a hundred"));
+        }
+        // The calendar of each keeper plans the same one, and again after each start.
+        if self.all.values().any(|w| w.plan.site == plan.site && w.plan.begin == plan.begin) {
+            return Ok(());
+        }
+        if self.all.len() >= WINDOWS_MOST {
+            let over = self.all.iter().find(|(_, w)| w.stage.is_over()).map(|(n, _)| *n);
+            self.all.remove(&over.ok_or(Refused::Full)?);
+        }
+        self.count += 1;
+        let plan = plan.clone();
+        let (stage, why) = (Stage::Planned, String::new());
+        let new = Window { plan, stage, part: WHOLE, usual: 0, change: None, overrun: false, why };
+        self.all.insert(self.count, new);
+        Ok(())
+    }
+
+    /// The site that a command is about.
+    pub fn site_of(&self, command: &Command) -> Option<&str> {
+        Some(self.all.get(&command.window()?)?.plan.site.as_str())
+    }
+
+    /// All windows by number.
+    pub fn all(&self) -> &BTreeMap<Number, Window> {
+        &self.all
+    }
+
+    /// What must never be: two sites away.
+    pub fn wrong(&self) -> Option<String> {
+        let away: Vec<_> = self.all.iter().filter(|(_, w)| w.stage.is_away()).collect();
+        (away.len() > 1).then(|| format!("windows {} and {} are away at once", away[0].0, away[1].0))
+    }
+}
+
+impl Window {
+    fn end(&mut self, stage: Stage, why: &str, register: &mut Register) {
+        (self.stage, self.why) = (stage, why.chars().take(200).collect());
+        if let Some(change) = self.change.take() {
+            register.apply(&freeze::Command::Done { change });
+        }
+    }
+
+    /// Whether its permit still lets it take more away.
+    fn may_go_on(&self, register: &Register) -> Result<(), Refused> {
+        let stand = self.change.and_then(|change| register.changes().get(&change)).map(|c| c.stand);
+        match stand {
+            Some(Stand::InFlight) => Ok(()),
+            Some(stand) => Err(Refused::NoPermit(format!("it {stand:?}"))),
+            None => Err(Refused::NoPermit("it has run out".into())),
+        }
+    }
+}
+
+/// Asks for a permit that is given now or not at all: a window that waits in line would keep others from theirs.
+fn permit(plan: &Plan, register: &mut Register) -> Result<Number, Refused> {
+    let whole = plan.lead + plan.latest + plan.length.saturating_mul(2);
+    let wish = Wish {
+        kind: Kind::Window,
+        scope: Scope::Site(plan.site.clone()),
+        who: "calendar".into(),
+        worth: 100,
+        runs_for: whole.clamp(1, freeze::RUNS_MOST),
+        reaction: Reaction::Undo,
+    };
+    match register.apply(&freeze::Command::Ask(wish)) {
+        Answer::Permit(number) => Ok(number),
+        Answer::Waits { change, behind } => {
+            register.apply(&freeze::Command::Done { change });
+            Err(Refused::NoPermit(format!("change {behind} goes first")))
+        }
+        Answer::Barred { change, incident, .. } => {
+            register.apply(&freeze::Command::Done { change });
+            Err(Refused::NoPermit(format!("incident {incident} is active")))
+        }
+        other => Err(Refused::NoPermit(format!("{other:?}"))),
+    }
+}
--- a/crates/module/src/api.rs
+++ b/crates/module/src/api.rs
@@ -419,6 +419,16 @@
         /// Its load report, if any.
         report: Report,
     },
+    /// The fleet moves traffic: a zone gets this part of its usual load. A hint: where nothing else is left, calls go
+    /// there all the same.
+    SitePart {
+        /// The zone.
+        zone: u16,
+        /// From 0 to 1.
+        part: f64,
+        /// How old this is.
+        age_ms: Millis,
+    },
     /// Bytes from another copy. This design shares nothing, so it is passed over.
     Message {
         /// Rank of the sender.
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -7,6 +7,7 @@
 
 use crate::api::*;
 use hillstall_storm::room::Room;
+use hillstall_storm::site::Sites;
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::FxHashMap;
@@ -471,6 +472,8 @@
     heat_at: Millis,
     /// The part of the tier that still answers: what the counts admit follows it at once.
     room: Room,
+    /// The part of its usual load that each zone gets.
+    sites: Sites,
     /// When the first request came.
     asked_from: Option<Millis>,
     asked: Vec<Fading>,
@@ -504,6 +507,7 @@
             heat: 1.0,
             heat_at: f64::MIN,
             room: Room::default(),
+            sites: Sites::default(),
             asked_from: None,
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             part: 1.0,
@@ -553,6 +557,7 @@
                 self.on_outcome(request, end, ended, actions);
             }
             Event::ClientGone { request } => self.on_client_gone(request, actions),
+            Event::SitePart { zone, part, age_ms } => self.sites.hint(self.now, zone, part, age_ms),
             Event::Timer { token: ASK } => actions.push(Action::Subscribe { on: true }),
             _ => {}
         }
@@ -1058,10 +1063,20 @@
 
     // ---- the pick ----
 
+    /// Draws a backend as usual, and another where the drawn one's zone is to get less and a whole zone is left.
+    fn pick(&mut self, held: &Held) -> Option<usize> {
+        let picked = self.pick_from(held, false)?;
+        let zone = self.backends[picked].info.zone;
+        let sites = std::mem::take(&mut self.sites);
+        let diverts = sites.diverts(self.now, zone, || self.random());
+        self.sites = sites;
+        Some(if diverts { self.pick_from(held, true).unwrap_or(picked) } else { picked })
+    }
+
     /// Draws a backend at random by weight from this copy's subset; `None` if none may be sent to. Where the
     /// tier is larger than the subset: many callers that each draw from all fill every backend's connection
-    /// table.
-    fn pick(&mut self, held: &Held) -> Option<usize> {
+    /// table. `whole`: only from zones that get all of their load.
+    fn pick_from(&mut self, held: &Held, whole: bool) -> Option<usize> {
         let now = self.now;
         let copies = f64::from(self.settings.fleet_size);
         let cover = SUBSET_COVER * self.backends.len() as f64 / copies;
@@ -1073,6 +1088,9 @@
         for n in 0..self.order.len() {
             let i = self.order[n];
             let stays = self.backends[i].stays(now, &self.settings.rules);
+            if whole && self.sites.part(now, self.backends[i].info.zone) < 1.0 {
+                continue;
+            }
             if stays <= 0.0 || !self.may_send(held, &self.backends[i].info) || !self.refill_cold(i, rate) {
                 continue;
             }
--- a/crates/module/tests/pick.rs
+++ b/crates/module/tests/pick.rs
@@ -53,7 +53,7 @@
         for _ in 0..60 {
             let sent = p.ask(0, 0, 4_000.0).expect("sent");
             *counts.entry(sent.to).or_default() += 1usize;
-            p.end(sent, if sent.to % 2 == 0 { Outcome::ConnectFailed } else { Outcome::Ok });
+            p.end(sent, if sent.to.is_multiple_of(2) { Outcome::ConnectFailed } else { Outcome::Ok });
         }
         counts
     };
--- /dev/null
+++ b/crates/quorum/src/duties.rs
@@ -0,0 +1,248 @@
+//! The duties of one copy: those it stands for or holds, the orders it gives by them, and the gates through which orders
+//! come to be carried out.
+
+use crate::member::{Did, Setup};
+use crate::state::{shift_duty, Outcome, COORDINATOR};
+use hillstall_lease::book::{Book, Command};
+use hillstall_lease::gate::{Floor, Gates, Order};
+use hillstall_lease::hold::Hold;
+use hillstall_lease::{Copy, Duty, Millis, Token};
+use hillstall_maintenance::part::SitePart;
+use hillstall_maintenance::{Part, WHOLE};
+use std::collections::BTreeMap;
+
+/// How long a copy that was asked to hand a duty over does not stand for it.
+const STANDS_BACK: Millis = 5_000;
+
+/// A duty that this copy may act by.
+pub struct Owned {
+    /// Which.
+    pub duty: Duty,
+    /// By which token.
+    pub token: Token,
+    /// The site, if it is the shift of one.
+    pub site: Option<String>,
+}
+
+struct Mine {
+    hold: Hold,
+    site: Option<String>,
+    rank: u8,
+    /// The token that was told last.
+    told: Option<Token>,
+    orders: u64,
+    stands_from: Millis,
+    /// It was given up for good.
+    gone: bool,
+}
+
+/// See the module's text.
+pub struct Duties {
+    copy: Copy,
+    terms: hillstall_lease::terms::Terms,
+    mine: BTreeMap<Duty, Mine>,
+    sites: BTreeMap<Duty, String>,
+    gates: Gates<Part>,
+    open: bool,
+    leaving: bool,
+    parts: BTreeMap<String, (SitePart, f64)>,
+    /// What was carried out last, and by which token.
+    done: BTreeMap<Duty, (Token, Part)>,
+    did: Vec<Did>,
+}
+
+impl Duties {
+    /// Keepers stand for all duties of the fleet; a site's shift is held by a copy elsewhere if there is one.
+    pub fn new(setup: &Setup, now: Millis) -> Duties {
+        let sites: BTreeMap<Duty, String> =
+            setup.sites.iter().filter_map(|site| Some((shift_duty(site)?, site.clone()))).collect();
+        let mut mine = BTreeMap::new();
+        if setup.keeper.is_some() {
+            let coordinator = Duty::new(COORDINATOR).ok().map(|duty| (duty, None));
+            let shifts = sites.iter().map(|(duty, site)| (duty.clone(), Some(site.clone())));
+            for (duty, site) in shifts.chain(coordinator) {
+                // One that goes down with its site could not bring the traffic back.
+                let rank = u8::from(site.as_deref() == Some(&setup.site));
+                let hold = Hold::new(duty.clone(), setup.copy, rank, setup.terms, now);
+                mine.insert(
+                    duty,
+                    Mine { hold, site, rank, told: None, orders: 0, stands_from: 0, gone: false },
+                );
+            }
+        }
+        let whole = |site: &String| (site.clone(), (SitePart::whole(now, setup.whole_way), 1.0));
+        Duties {
+            copy: setup.copy,
+            terms: setup.terms,
+            mine,
+            parts: setup.sites.iter().map(whole).collect(),
+            sites,
+            gates: Gates::default(),
+            open: false,
+            leaving: false,
+            done: BTreeMap::new(),
+            did: Vec::new(),
+        }
+    }
+
+    // ---- holding ----
+
+    /// What to propose about leases now.
+    pub fn ask(&mut self, now: Millis, random: f64) -> Vec<Command> {
+        let due = self.mine.values_mut().filter(|mine| !mine.gone && now >= mine.stands_from);
+        due.filter_map(|mine| mine.hold.ask(now, random)).collect()
+    }
+
+    /// The book as it is known now.
+    pub fn heard(&mut self, now: Millis, book: &Book) {
+        for (duty, mine) in &mut self.mine {
+            mine.hold.heard(now, book.grant(duty));
+        }
+    }
+
+    /// What the keepers said to a question asked at `asked_at`.
+    pub fn answered(
+        &mut self,
+        now: Millis,
+        asked_at: Millis,
+        command: &Command,
+        renewed: Option<Token>,
+        outcome: &Outcome,
+    ) {
+        let Some(mine) = self.mine.get_mut(command.duty()) else { return };
+        if let Command::Leave { duty, .. } = command {
+            // It stands for the duty again later, as one that was never asked to hand it over.
+            mine.gone = self.leaving;
+            mine.stands_from = now + STANDS_BACK;
+            mine.hold = Hold::new(duty.clone(), self.copy, mine.rank, self.terms, mine.stands_from);
+            return;
+        }
+        match (outcome, renewed) {
+            (Outcome::Over { newest }, _) => mine.hold.refused(*newest),
+            (Outcome::Grant(grant), Some(token)) => {
+                mine.hold.renewed(now, asked_at, token);
+                mine.hold.heard(now, *grant);
+            }
+            (Outcome::Grant(grant), None) if mine.stands_from <= now => mine.hold.heard(now, *grant),
+            _ => {}
+        }
+    }
+
+    /// Gives up all duties for good.
+    pub fn leave(&mut self, now: Millis) {
+        self.leaving = true;
+        self.mine.values_mut().for_each(|mine| {
+            mine.stands_from = 0;
+            mine.hold.leave(now);
+        });
+    }
+
+    /// Whether the keepers know that all were given up.
+    pub fn has_left(&self) -> bool {
+        self.leaving && self.mine.values().all(|mine| mine.gone)
+    }
+
+    /// Gives up one, and stands for it again after a while; false if it is not held.
+    pub fn hand_over(&mut self, now: Millis, duty: &Duty) -> bool {
+        let Some(mine) = self.mine.get_mut(duty) else { return false };
+        let held = mine.hold.token(now).is_some();
+        if held {
+            mine.hold.leave(now);
+        }
+        held
+    }
+
+    /// The duties that may be acted by now.
+    pub fn held(&self, now: Millis) -> Vec<(Duty, Token)> {
+        let held = self.mine.iter().filter_map(|(duty, mine)| Some((duty.clone(), mine.hold.token(now)?)));
+        held.collect()
+    }
+
+    /// The same, with what they are about.
+    pub fn owned(&self, now: Millis) -> Vec<Owned> {
+        let owned = self.mine.iter().filter_map(|(duty, mine)| {
+            let token = mine.hold.token(now)?;
+            Some(Owned { duty: duty.clone(), token, site: mine.site.clone() })
+        });
+        owned.collect()
+    }
+
+    /// The next order of a grant.
+    pub fn order(&mut self, duty: &Duty, token: Token, part: Part, setup: &Setup) -> Order<Part> {
+        let number = self.mine.get_mut(duty).map_or(0, |mine| {
+            mine.orders += 1;
+            mine.orders
+        });
+        let (duty, holds_for) = (duty.clone(), setup.holds_for);
+        Order { duty, token, number, holds_for, what: part, after: WHOLE }
+    }
+
+    // ---- carrying out ----
+
+    /// A true read has told which orders are old.
+    pub fn open(&mut self, book: &Book) {
+        for duty in self.sites.keys() {
+            self.gates.told(duty, Floor { token: book.floor(duty), number: None });
+        }
+        self.open = true;
+    }
+
+    /// Whether that has happened.
+    pub fn is_open(&self) -> bool {
+        self.open || self.sites.is_empty()
+    }
+
+    /// Carries out an order, if the gate lets it through. Gives what is worth writing down.
+    pub fn carry_out(&mut self, now: Millis, order: Order<Part>) -> Option<Did> {
+        let site = self.sites.get(&order.duty)?;
+        let before = self.gates.holds(&order.duty, now).copied();
+        match self.gates.take(now, order.clone()) {
+            Ok(()) => {
+                if let Some((part, _)) = self.parts.get_mut(site) {
+                    part.set(now, order.what);
+                }
+                // The same once more, by the same owner, is no news.
+                let known = self.done.insert(order.duty.clone(), (order.token, order.what));
+                let news = before != Some(order.what) || known != Some((order.token, order.what));
+                news.then_some(Did::CarriedOut(order))
+            }
+            Err(hillstall_lease::gate::Refused::Passed { .. }) => None,
+            Err(why) => Some(Did::Refused(order, why.to_string())),
+        }
+    }
+
+    /// What changed since this was last asked: orders run out, and sites come back by themselves.
+    pub fn run_out(&mut self, now: Millis) -> Vec<(String, f64)> {
+        let mut changed = Vec::new();
+        for (duty, site) in &self.sites {
+            let Some((part, told)) = self.parts.get_mut(site) else { continue };
+            if let Some(holds) = self.gates.holds(duty, now) {
+                part.set(now, *holds);
+            }
+            let read = part.read(now);
+            if (read - *told).abs() >= 0.005 || (read != *told && (read == 0.0 || read == 1.0)) {
+                *told = read;
+                changed.push((site.clone(), read));
+            }
+        }
+        changed
+    }
+
+    /// The part that a site gets here.
+    pub fn part(&self, site: &str, now: Millis) -> f64 {
+        self.parts.get(site).map_or(1.0, |(part, _)| part.read(now))
+    }
+
+    /// What is worth writing down since this was last asked.
+    pub fn did(&mut self, now: Millis) -> Vec<Did> {
+        for (duty, mine) in &mut self.mine {
+            let token = mine.hold.token(now);
+            if token != mine.told {
+                self.did.extend(mine.told.map(|token| Did::Lost(duty.clone(), token)));
+                self.did.extend(token.map(|token| Did::Holds(duty.clone(), token)));
+                mine.told = token;
+            }
+        }
+        std::mem::take(&mut self.did)
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/frame.rs
@@ -0,0 +1,107 @@
+//! What copies send each other: one frame after another, each with the version of the code that wrote it.
+
+use crate::keeper::Word;
+use crate::reports::Report;
+use crate::state::{Id, Outcome, Proposal};
+use hillstall_lease::gate::Order;
+use hillstall_lease::Copy;
+use hillstall_maintenance::Part;
+use serde::{Deserialize, Serialize};
+
+/// The version of these frames. A copy that hears another one passes it over.
+pub const VERSION: u8 = 1;
+/// Most bytes of a frame: the largest state there can be has room.
+pub const FRAME_MOST: usize = 4 * 1024 * 1024;
+
+/// A frame.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Comes first on each connection: who opens it.
+    Hello {
+        /// Which fleet: copies of two fleets never talk.
+        fleet: String,
+        /// Who.
+        copy: Copy,
+        /// Its slot, if it is a keeper.
+        keeper: Option<usize>,
+    },
+    /// Between keepers.
+    Word(Word),
+    /// A copy wants something applied.
+    Propose(Proposal),
+    /// It was.
+    Answer {
+        /// What was proposed.
+        id: Id,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// A copy wants a true read.
+    Read {
+        /// Its number there.
+        number: u64,
+    },
+    /// The state was as new as that when it was asked.
+    Told {
+        /// The read's number.
+        number: u64,
+        /// The index to wait for.
+        index: u64,
+    },
+    /// The whole state: the stream begins, or begins anew as it was too far behind.
+    State(Vec<u8>),
+    /// What was applied next.
+    Applied {
+        /// The index of what was applied before it.
+        after: u64,
+        /// Its index.
+        index: u64,
+        /// What.
+        proposal: Proposal,
+    },
+    /// A follower has got that far.
+    Ack(u64),
+    /// Nothing happens; the keeper has applied so far.
+    Beat(u64),
+    /// An order, on its way to all copies.
+    Order(Order<Part>),
+    /// What a copy has counted.
+    Report(Report),
+    /// What a keeper has heard of its copies lately, and its clock.
+    Reports {
+        /// Unix time in milliseconds, as it reads it.
+        unix: u64,
+        /// The reports.
+        heard: Vec<Report>,
+    },
+}
+
+/// A frame that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unreadable {
+    /// It is of another version.
+    #[error("a frame of version {0}, not {VERSION}")]
+    Version(u8),
+    /// It is no frame.
+    #[error("no frame: {0}")]
+    Garbled(String),
+}
+
+impl Frame {
+    /// The bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        // Only a writer that is full fails, and this one grows.
+        postcard::to_extend(self, vec![VERSION]).unwrap_or_default()
+    }
+
+    /// The frame of some bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Frame, Unreadable> {
+        match bytes.split_first() {
+            Some((&VERSION, rest)) => {
+                postcard::from_bytes(rest).map_err(|why| Unreadable::Garbled(why.to_string()))
+            }
+            Some((version, _)) => Err(Unreadable::Version(*version)),
+            None => Err(Unreadable::Garbled("it is empty".into())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/reports.rs
@@ -0,0 +1,137 @@
+//! What copies count and tell, with its age, and what is made of it for all.
+
+use hillstall_freeze::detect::{Fact, Sign};
+use hillstall_freeze::scope::Scope;
+use hillstall_lease::{Copy, Millis};
+use hillstall_maintenance::steps::{Figures, Load};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A report older than this says nothing of now.
+const YOUNG: Millis = 3_000;
+/// Copies that were not heard of for so long are not counted as missing any more.
+const KNOWN_FOR: Millis = 60_000;
+/// Calls that must have ended at a site, over all copies, for a part of them to say anything.
+const CALLS_LEAST: u64 = 5;
+/// Calls that must have come, over all copies, for a part of them to say anything.
+const ASKED_LEAST: u64 = 20;
+
+/// What a copy has counted of one site.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Attempts sent there.
+    pub sent: u32,
+    /// Attempts that were served.
+    pub served: u32,
+    /// Attempts that ended without any answer: no connection, a broken one, or silence.
+    pub silent: u32,
+    /// The part of its servers' capacity in use, in hundredths; over 100 if they don't tell.
+    pub busy: u8,
+}
+
+/// What a copy has counted over some time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Whose.
+    pub copy: Option<Copy>,
+    /// How old it is when it is sent on, in milliseconds.
+    pub age: u32,
+    /// Over how long it counts, in milliseconds.
+    pub over: u32,
+    /// Calls of clients that came.
+    pub asked: u32,
+    /// Calls of clients that were refused.
+    pub refused: u32,
+    /// By site.
+    pub sites: BTreeMap<String, Counts>,
+}
+
+/// All that was heard of lately.
+#[derive(Clone, Debug, Default)]
+pub struct Reports {
+    /// By rank: two processes of one name are one copy here.
+    heard: BTreeMap<u32, (Report, Millis)>,
+    /// The most that each site served in a second.
+    proven: BTreeMap<String, f64>,
+}
+
+impl Reports {
+    /// Takes a report at `now`; what it tells may be older.
+    pub fn take(&mut self, now: Millis, report: Report) {
+        let Some(copy) = report.copy else { return };
+        let from = now.saturating_sub(u64::from(report.age));
+        if self.heard.get(&copy.rank).is_none_or(|(_, at)| *at < from) {
+            self.heard.insert(copy.rank, (report, from));
+        }
+    }
+
+    /// What is worth telling another keeper of some copies, with its age.
+    pub fn share(&self, now: Millis, whose: impl Fn(Copy) -> bool) -> Vec<Report> {
+        let young = self.heard.values().filter(|(_, at)| now.saturating_sub(*at) < YOUNG);
+        let own = young.filter(|(report, _)| report.copy.is_some_and(&whose));
+        own.map(|(report, at)| Report { age: now.saturating_sub(*at) as u32, ..report.clone() }).collect()
+    }
+
+    /// What the steps of a shift go by. `trouble` is left to whoever knows of incidents.
+    pub fn figures(&mut self, now: Millis) -> Figures {
+        self.heard.retain(|_, (_, at)| now.saturating_sub(*at) < KNOWN_FOR);
+        let young: Vec<&Report> = self.young(now).collect();
+        let heard = young.len() as f64 / self.heard.len().max(1) as f64;
+        let mut sites: BTreeMap<String, Load> = BTreeMap::new();
+        let mut ended: BTreeMap<String, (f64, f64, f64, f64)> = BTreeMap::new();
+        for report in young {
+            let per_s = 1_000.0 / f64::from(report.over.max(1));
+            for (site, counts) in &report.sites {
+                let load = sites.entry(site.clone()).or_default();
+                load.sent += f64::from(counts.sent) * per_s;
+                load.proven += f64::from(counts.served) * per_s;
+                let (served, all, busy, told) = ended.entry(site.clone()).or_default();
+                *served += f64::from(counts.served);
+                *all += f64::from(counts.served + counts.silent);
+                if counts.busy <= 100 {
+                    *busy += f64::from(counts.busy) / 100.0;
+                    *told += 1.0;
+                }
+            }
+        }
+        for (site, load) in &mut sites {
+            let (served, all, busy, told) = ended[site];
+            load.served = if all > 0.0 { served / all } else { 1.0 };
+            load.busy = (told > 0.0).then(|| busy / told);
+            let most = self.proven.entry(site.clone()).or_default();
+            *most = most.max(load.proven);
+            load.proven = *most;
+        }
+        Figures { sites, heard, trouble: None }
+    }
+
+    fn young(&self, now: Millis) -> impl Iterator<Item = &Report> {
+        let young = move |at: Millis| now.saturating_sub(at) < YOUNG;
+        self.heard.values().filter(move |(_, at)| young(*at)).map(|(report, _)| report)
+    }
+
+    /// What a coordinator goes by.
+    pub fn facts(&self, now: Millis) -> Vec<Fact> {
+        let (mut asked, mut refused) = (0, 0);
+        let mut sites: BTreeMap<&String, (u64, u64)> = BTreeMap::new();
+        for report in self.young(now) {
+            asked += u64::from(report.asked);
+            refused += u64::from(report.refused);
+            for (site, counts) in &report.sites {
+                let (silent, ended) = sites.entry(site).or_default();
+                *silent += u64::from(counts.silent);
+                *ended += u64::from(counts.silent + counts.served);
+            }
+        }
+        let mut facts = Vec::new();
+        if asked >= ASKED_LEAST {
+            let level = refused as f64 / asked as f64;
+            facts.push(Fact { scope: Scope::Fleet, sign: Sign::Refused, level });
+        }
+        for (site, (silent, ended)) in sites.into_iter().filter(|(_, (_, ended))| *ended >= CALLS_LEAST) {
+            let level = silent as f64 / ended as f64;
+            facts.push(Fact { scope: Scope::Site(site.clone()), sign: Sign::Lost, level });
+        }
+        facts
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/state.rs
@@ -0,0 +1,202 @@
+//! The one state that the keepers agree on: duties, windows, incidents and permits. Commands come in the same order to
+//! each keeper; one that comes twice acts once.
+
+use hillstall_freeze::register::{self as freeze, By, Register};
+use hillstall_lease::book::{self, Book, Grant};
+use hillstall_lease::{Copy, Duty, Token};
+use hillstall_maintenance::machine::{self as window, Windows};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// How many of a copy's latest commands are known again when they come once more.
+const KNOWN_EACH: usize = 32;
+/// Of how many copies that is remembered; the ones not heard of for longest go first.
+const COPIES_MOST: usize = 1_024;
+
+/// The duty of the one who opens and closes incidents by rule.
+pub const COORDINATOR: &str = "freeze/coordinator";
+
+/// The duty of shifting a site's traffic.
+pub fn shift_duty(site: &str) -> Option<Duty> {
+    Duty::new(&format!("shift/{}", site.to_lowercase())).ok()
+}
+
+/// Names one command for ever.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id {
+    /// Who proposes it.
+    pub copy: Copy,
+    /// Its number there.
+    pub number: u64,
+}
+
+/// A command.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Command {
+    /// About who holds a duty.
+    Lease(book::Command),
+    /// About incidents and changes.
+    Freeze(freeze::Command),
+    /// About a site's window, by whoever holds the duty of its shift, or by a person.
+    Window {
+        /// The token it goes by; none for what people may do.
+        token: Option<Token>,
+        /// What.
+        command: window::Command,
+    },
+}
+
+/// A command, and who wants it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Proposal {
+    /// Its name.
+    pub id: Id,
+    /// What.
+    pub command: Command,
+}
+
+/// What became of a command.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The duty's grant as it is then.
+    Grant(Option<Grant>),
+    /// It went by a grant that is over.
+    Over {
+        /// The duty's newest token.
+        newest: Token,
+    },
+    /// See there.
+    Freeze(freeze::Answer),
+    /// The window is where the command leads.
+    Window,
+    /// Nothing came of it.
+    Refused(String),
+    /// It came so late that it is not known any more whether it came before: it does nothing.
+    TooLate,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+struct Known {
+    /// Numbers below this one are too old.
+    from: u64,
+    outcomes: VecDeque<(u64, Outcome)>,
+    at: u64,
+}
+
+/// See the module's text.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct State {
+    index: u64,
+    book: Book,
+    register: Register,
+    windows: Windows,
+    known: BTreeMap<Copy, Known>,
+}
+
+impl State {
+    /// Applies the log's entry at `index`. What was applied before is passed over.
+    pub fn apply(&mut self, index: u64, proposal: &Proposal) -> Outcome {
+        let Id { copy, number } = proposal.id;
+        self.index = self.index.max(index);
+        let known = self.known.entry(copy).or_default();
+        known.at = index;
+        if let Some((_, outcome)) = known.outcomes.iter().find(|(n, _)| *n == number) {
+            return outcome.clone();
+        }
+        if number < known.from {
+            return Outcome::TooLate;
+        }
+        let outcome = self.carry_out(&proposal.command);
+        let known = self.known.entry(copy).or_default();
+        known.outcomes.push_back((number, outcome.clone()));
+        if known.outcomes.len() > KNOWN_EACH {
+            // Whatever has a lower number than the one that is forgotten may have come as well.
+            let gone = known.outcomes.pop_front().map_or(0, |(n, _)| n + 1);
+            known.from = known.from.max(gone);
+        }
+        if self.known.len() > COPIES_MOST {
+            let oldest = self.known.iter().min_by_key(|(_, known)| known.at).map(|(copy, _)| *copy);
+            oldest.map(|copy| self.known.remove(&copy));
+        }
+        outcome
+    }
+
+    /// Whether a token is the newest of a duty that is held.
+    fn holds(&self, duty: &Duty, token: Token) -> Result<(), Outcome> {
+        match self.book.grant(duty) {
+            Some(grant) if grant.token == token => Ok(()),
+            _ => Err(Outcome::Over { newest: self.book.floor(duty) }),
+        }
+    }
+
+    fn carry_out(&mut self, command: &Command) -> Outcome {
+        match command {
+            Command::Lease(command) => match self.book.apply(command) {
+                Ok(grant) => Outcome::Grant(grant),
+                Err(book::Refused::Over { newest }) => Outcome::Over { newest },
+                Err(why) => Outcome::Refused(why.to_string()),
+            },
+            Command::Freeze(command) => {
+                // A coordinator that was followed by another says nothing any more.
+                let by = match command {
+                    freeze::Command::Open { by, .. } | freeze::Command::Resolve { by, .. } => Some(by),
+                    _ => None,
+                };
+                if let Some(By::Rule(token)) = by {
+                    let checked = Duty::new(COORDINATOR).map(|duty| self.holds(&duty, Token(*token)));
+                    if let Ok(Err(over)) = checked {
+                        return over;
+                    }
+                }
+                Outcome::Freeze(self.register.apply(command))
+            }
+            Command::Window { token, command } => self.window(*token, command),
+        }
+    }
+
+    fn window(&mut self, token: Option<Token>, command: &window::Command) -> Outcome {
+        if command.is_owners() {
+            let duty = self.windows.site_of(command).and_then(shift_duty);
+            let Some((duty, token)) = duty.zip(token) else {
+                return Outcome::Refused("no such window, or no token".into());
+            };
+            if let Err(over) = self.holds(&duty, token) {
+                return over;
+            }
+        }
+        match self.windows.apply(command, &mut self.register) {
+            Ok(()) => Outcome::Window,
+            Err(why) => Outcome::Refused(why.to_string()),
+        }
+    }
+
+    /// The index of the last entry that was applied.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Who holds what.
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// Incidents and changes.
+    pub fn register(&self) -> &Register {
+        &self.register
+    }
+
+    /// Windows.
+    pub fn windows(&self) -> &Windows {
+        &self.windows
+    }
+
+    /// For a snapshot.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// From a snapshot.
+    pub fn from_bytes(bytes: &[u8]) -> Result<State, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/timers.rs
@@ -0,0 +1,34 @@
+//! Waits for what runs out by itself, by a keeper's own monotonic clock. All keepers wait, so that one that begins to lead
+//! need not begin to wait; each waits from when it has seen the thing, which is never too early.
+
+use hillstall_lease::Millis;
+use std::collections::BTreeMap;
+
+/// Waits by key; each goes by a version of its thing.
+#[derive(Clone, Debug)]
+pub struct Timers<K> {
+    since: BTreeMap<K, (u64, Millis)>,
+}
+
+impl<K: Ord + Copy> Timers<K> {
+    /// None yet.
+    pub fn new() -> Timers<K> {
+        Timers { since: BTreeMap::new() }
+    }
+
+    /// Looks at all that may run out: key, version and how long. Gives those whose time is over, each time it is asked.
+    pub fn look(&mut self, now: Millis, all: impl Iterator<Item = (K, u64, Millis)>) -> Vec<(K, u64)> {
+        let mut seen = BTreeMap::new();
+        let mut over = Vec::new();
+        for (key, version, after) in all {
+            let known = self.since.get(&key).filter(|(v, _)| *v == version);
+            let from = known.map_or(now, |(_, from)| *from);
+            seen.insert(key, (version, from));
+            if now.saturating_sub(from) > after {
+                over.push((key, version));
+            }
+        }
+        self.since = seen;
+        over
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/sim/mod.rs
@@ -0,0 +1,656 @@
+//! The simulated fleet.
+
+use hillstall_freeze::detect::Limits;
+use hillstall_freeze::register::{Answer, By, Command as Freeze, Wish};
+use hillstall_freeze::rules::{Kind, Reaction, Severity};
+use hillstall_freeze::scope::Scope;
+use hillstall_lease::terms::Terms;
+use hillstall_lease::{Copy, Duty, Millis, Token};
+use hillstall_maintenance::machine::{Command as Window, Overrun, Plan, Stage};
+use hillstall_maintenance::steps::Pace;
+use hillstall_quorum::disk::{Change, Disk, DiskFailed, Kept};
+use hillstall_quorum::frame::Frame;
+use hillstall_quorum::keeper::new_id;
+use hillstall_quorum::member::{Did, Member, Out, Setup, To};
+use hillstall_quorum::reports::{Counts, Report};
+use hillstall_quorum::state::{Command, Outcome};
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+
+const KEEPERS: usize = 3;
+const COPIES: usize = 6;
+const TICK: Millis = 25;
+const FAULTS_FROM: Millis = 3_000;
+const FAULTS_END: Millis = 40_000;
+const END: Millis = 60_000;
+/// Writes after which a disk that is not synced writes by itself.
+const SYNC_EACH: u64 = 64;
+/// Rates of clocks lie within this of the true one, so that two run apart by what the terms allow.
+const RATE_PPM: u64 = 24_000;
+const UNIX: Millis = 1_800_000_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    None,
+    /// What was written last is not on the disk after a crash.
+    NoSync,
+    /// A disk that was lost comes back under its old name, and votes as the old one.
+    OldName,
+    /// Orders are carried out whatever their token.
+    NoCheck,
+}
+
+/// A disk that outlives its process.
+struct MemDisk {
+    slot: usize,
+    kept: Rc<RefCell<Kept>>,
+    /// As it was some writes ago, and how many there were.
+    before: Rc<RefCell<Kept>>,
+    saves: u64,
+    random: u64,
+}
+
+impl Disk for MemDisk {
+    fn load(&mut self) -> Result<Kept, DiskFailed> {
+        let mut kept = self.kept.borrow_mut();
+        if kept.id == 0 {
+            kept.id = new_id(self.slot, self.random);
+        }
+        Ok(kept.clone())
+    }
+
+    fn save(&mut self, change: Change) -> Result<(), DiskFailed> {
+        let mut kept = self.kept.borrow_mut();
+        self.saves += 1;
+        if self.saves % SYNC_EACH == 1 {
+            *self.before.borrow_mut() = kept.clone();
+        }
+        change.apply(&mut kept);
+        Ok(())
+    }
+
+    fn renew(&mut self) -> Result<Kept, DiskFailed> {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let id = new_id(self.slot, self.random >> 16);
+        *self.kept.borrow_mut() = Kept { id, ..Kept::default() };
+        Ok(self.kept.borrow().clone())
+    }
+}
+
+struct Clock {
+    from: Millis,
+    ppm: u64,
+    /// What the system's clock is off by.
+    steps: i64,
+}
+
+impl Clock {
+    fn read(&self, now: Millis) -> Millis {
+        self.from + now * self.ppm / 1_000_000
+    }
+}
+
+struct One {
+    life: u64,
+    member: Option<Member<MemDisk>>,
+    clock: Clock,
+    kept: Rc<RefCell<Kept>>,
+    before: Rc<RefCell<Kept>>,
+    old: Option<Kept>,
+    stopped_until: Millis,
+    highest: BTreeMap<Duty, Token>,
+    follows: Option<usize>,
+}
+
+enum Happens {
+    Tick(usize, u64),
+    Report(usize),
+    Frame(usize, u64, usize, Frame),
+    Connected(usize, u64, usize),
+    Start(usize),
+    Person,
+    Trouble,
+    Heal(Vec<(usize, usize)>),
+}
+
+pub struct Sim {
+    fault: Fault,
+    random: Xoshiro256PlusPlus,
+    now: Millis,
+    pub events: u64,
+    queue: BinaryHeap<Reverse<(Millis, u64)>>,
+    what: BTreeMap<u64, Happens>,
+    ones: Vec<One>,
+    cut: BTreeMap<(usize, usize), u32>,
+    last: BTreeMap<(usize, usize), Millis>,
+    states: BTreeMap<u64, u64>,
+    tickets: u64,
+    pub acknowledged: Vec<u64>,
+    pub carried_out: u64,
+    pub wrong: Vec<String>,
+    pub digest: u64,
+    worn: Millis,
+    /// `HILLSTALL_TRACE` tells on standard error what each copy does.
+    traced: bool,
+}
+
+fn name(i: usize) -> String {
+    ["north", "south", "west"][i % 3].to_owned()
+}
+
+impl Sim {
+    pub fn new(seed: u64, fault: Fault) -> Sim {
+        let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let ones = (0..COPIES).map(|_| One {
+            life: 0,
+            member: None,
+            clock: Clock {
+                from: random.next_u64() % 1_000_000_000,
+                ppm: 1_000_000 - RATE_PPM + random.next_u64() % (2 * RATE_PPM),
+                steps: 0,
+            },
+            kept: Rc::default(),
+            before: Rc::default(),
+            old: None,
+            stopped_until: 0,
+            highest: BTreeMap::new(),
+            follows: None,
+        });
+        let mut sim = Sim {
+            fault,
+            ones: ones.collect(),
+            random,
+            now: 0,
+            events: 0,
+            queue: BinaryHeap::new(),
+            what: BTreeMap::new(),
+            cut: BTreeMap::new(),
+            last: BTreeMap::new(),
+            states: BTreeMap::new(),
+            tickets: 0,
+            acknowledged: Vec::new(),
+            carried_out: 0,
+            wrong: Vec::new(),
+            digest: 0,
+            worn: 0,
+            traced: std::env::var_os("HILLSTALL_TRACE").is_some(),
+        };
+        for i in 0..COPIES {
+            let when = sim.below(300);
+            sim.at(when, Happens::Start(i));
+        }
+        sim.at(2_000, Happens::Person);
+        sim.at(FAULTS_FROM, Happens::Trouble);
+        sim
+    }
+
+    fn at(&mut self, when: Millis, what: Happens) {
+        self.events += 1;
+        self.queue.push(Reverse((when, self.events)));
+        self.what.insert(self.events, what);
+    }
+
+    fn below(&mut self, n: u64) -> u64 {
+        self.random.next_u64() % n
+    }
+
+    pub fn run(mut self) -> Sim {
+        while let Some(Reverse((when, id))) = self.queue.pop() {
+            if when > END || !self.wrong.is_empty() {
+                break;
+            }
+            self.now = when;
+            if let Some(what) = self.what.remove(&id) {
+                self.happen(what);
+                self.look();
+            }
+        }
+        if self.wrong.is_empty() {
+            self.judge_end();
+        }
+        self
+    }
+
+    fn start(&mut self, i: usize) {
+        let seed = self.random.next_u64();
+        let one = &mut self.ones[i];
+        one.life += 1;
+        let slot = (i < KEEPERS).then_some(i);
+        let disk = slot.map(|slot| MemDisk {
+            slot,
+            kept: one.kept.clone(),
+            before: one.before.clone(),
+            saves: 0,
+            random: seed >> 8,
+        });
+        let setup = Setup {
+            fleet: "sim".into(),
+            copy: Copy { rank: i as u32, life: one.life },
+            keeper: slot,
+            keepers: KEEPERS,
+            site: name(i),
+            sites: (0..3).map(name).collect(),
+            terms: Terms::new(2_000, 50_000, 100).expect("terms"),
+            pace: Pace { wait: 300, ..Pace::default() },
+            limits: Limits::default(),
+            holds_for: 4_000,
+            whole_way: 6_000,
+            seed,
+        };
+        one.member = Some(Member::start(setup, disk, one.clock.read(self.now)));
+        (one.highest, one.follows) = (BTreeMap::new(), None);
+        let life = one.life;
+        self.at(self.now, Happens::Tick(i, life));
+        self.at(self.now + 500, Happens::Report(i));
+        self.drain(i);
+    }
+
+    fn happen(&mut self, what: Happens) {
+        let now = self.now;
+        match what {
+            Happens::Start(i) => self.start(i),
+            Happens::Tick(i, life) => {
+                let one = &mut self.ones[i];
+                if one.life != life || one.member.is_none() {
+                    return;
+                }
+                if one.stopped_until > now {
+                    let until = one.stopped_until;
+                    return self.at(until, Happens::Tick(i, life));
+                }
+                let (local, unix) = one.clocks(now);
+                if let Some(member) = &mut one.member {
+                    member.tick(local, unix);
+                }
+                self.drain(i);
+                self.at(now + TICK, Happens::Tick(i, life));
+            }
+            Happens::Report(i) => {
+                let one = &mut self.ones[i];
+                let local = one.clock.read(now);
+                if let Some(member) = one.member.as_mut().filter(|_| one.stopped_until <= now) {
+                    let away = 1.0 - member.part("north", local);
+                    let counts = |sent: f64| Counts {
+                        sent: sent as u32,
+                        served: sent as u32,
+                        silent: 0,
+                        busy: (sent * 0.5) as u8,
+                    };
+                    let more = 100.0 + 50.0 * away;
+                    let sites = [("north", 100.0 - 100.0 * away), ("south", more), ("west", more)];
+                    let sites = sites.map(|(site, sent)| (site.to_owned(), counts(sent)));
+                    let report = Report { over: 500, asked: 200, sites: sites.into(), ..Report::default() };
+                    member.report(local, report);
+                }
+                self.drain(i);
+                self.at(now + 500, Happens::Report(i));
+            }
+            Happens::Connected(i, life, keeper) => {
+                let one = &self.ones[i];
+                if one.life != life || one.follows != Some(keeper) || self.ones[keeper].member.is_none() {
+                    return;
+                }
+                if self.is_cut(i, keeper) || self.is_cut(keeper, i) || self.ones[keeper].stopped_until > now {
+                    return self.at(now + 200, Happens::Connected(i, life, keeper));
+                }
+                let copy = Copy { rank: i as u32, life };
+                let local = self.ones[keeper].clock.read(now);
+                if let Some(member) = &mut self.ones[keeper].member {
+                    member.attached(local, copy);
+                }
+                let local = self.ones[i].clock.read(now);
+                if let Some(member) = &mut self.ones[i].member {
+                    member.connected(local, keeper, true);
+                }
+            }
+            Happens::Frame(to, life, from, frame) => {
+                let one = &mut self.ones[to];
+                if one.life != life || one.member.is_none() {
+                    return;
+                }
+                if one.stopped_until > now {
+                    let until = one.stopped_until;
+                    return self.at(until, Happens::Frame(to, life, from, frame));
+                }
+                let local = one.clock.read(now);
+                let from_life = self.ones[from].life;
+                if let Some(member) = &mut self.ones[to].member {
+                    match from < KEEPERS {
+                        true => member.hear_keeper(local, from, frame),
+                        false => member.hear_copy(local, Copy { rank: from as u32, life: from_life }, frame),
+                    }
+                }
+                self.drain(to);
+            }
+            Happens::Person => self.person(),
+            Happens::Trouble => self.trouble(),
+            Happens::Heal(links) => {
+                for link in links {
+                    if let Some(cuts) = self.cut.get_mut(&link) {
+                        *cuts = cuts.saturating_sub(1);
+                    }
+                }
+            }
+        }
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        self.cut.get(&(from, to)).is_some_and(|cuts| *cuts > 0)
+    }
+
+    /// Carries out what a member wants.
+    fn drain(&mut self, i: usize) {
+        let Some(member) = &mut self.ones[i].member else { return };
+        let out = member.out();
+        let life = self.ones[i].life;
+        for out in out {
+            if self.traced && !matches!(out, Out::Send(..) | Out::Part(..)) {
+                eprintln!("{} {i}/{life} {out:?}", self.now);
+            }
+            match out {
+                Out::Send(To::Keeper(k), frame) => self.send(i, k, frame),
+                Out::Send(To::Copy(copy), frame) => {
+                    let to = copy.rank as usize;
+                    if self.ones[to].life == copy.life && self.ones[to].follows == Some(i) {
+                        self.send(i, to, frame);
+                    }
+                }
+                Out::Follow(keeper) => {
+                    if let Some(old) = self.ones[i].follows.replace(keeper) {
+                        if let Some(member) = &mut self.ones[old].member {
+                            member.detached(Copy { rank: i as u32, life });
+                        }
+                    }
+                    self.at(self.now + 2, Happens::Connected(i, life, keeper));
+                }
+                Out::Did(did) => self.did(i, did),
+                Out::Done(_, Some(Outcome::Freeze(Answer::Done(number)))) => self.acknowledged.push(number),
+                Out::Done(..) | Out::Part(..) | Out::Log(_) => {}
+            }
+        }
+    }
+
+    fn did(&mut self, i: usize, did: Did) {
+        let mut hasher = DefaultHasher::new();
+        (self.digest, self.now, i, format!("{did:?}")).hash(&mut hasher);
+        self.digest = hasher.finish();
+        let order = match did {
+            Did::CarriedOut(order) => order,
+            Did::Refused(order, _) if self.fault == Fault::NoCheck => order,
+            _ => return,
+        };
+        self.carried_out += 1;
+        let highest = self.ones[i].highest.entry(order.duty.clone()).or_default();
+        if order.token < *highest {
+            let line = format!("{}: copy {i} carried out {order:?} after {highest:?}", self.now);
+            self.wrong.push(line);
+        }
+        let highest = self.ones[i].highest.entry(order.duty).or_default();
+        *highest = (*highest).max(order.token);
+    }
+
+    fn send(&mut self, from: usize, to: usize, frame: Frame) {
+        let troubled = self.now > FAULTS_FROM && self.now < FAULTS_END;
+        if self.is_cut(from, to) {
+            return;
+        }
+        // A stream's frames come in order, as they do over one connection; others may be late, double or reordered.
+        let loose = matches!(frame, Frame::Order(_) | Frame::Word(_) | Frame::Propose(_));
+        let wait = 1 + self.below(8);
+        let when = self.now + wait;
+        let life = self.ones[to].life;
+        if troubled && loose && self.below(50) == 0 {
+            let late = self.now + self.below(30_000);
+            self.at(late, Happens::Frame(to, life, from, frame.clone()));
+            if self.below(2) == 0 {
+                return;
+            }
+        }
+        let last = self.last.entry((from, to)).or_default();
+        let when = when.max(*last);
+        *last = when;
+        self.at(when, Happens::Frame(to, life, from, frame));
+    }
+
+    /// Somebody plans a window, opens an incident, or asks for a permit, at a copy that may be anywhere.
+    fn person(&mut self) {
+        let i = self.below(COPIES as u64) as usize;
+        let command = match self.below(6) {
+            0 | 1 => {
+                let site = self.below(2) as usize;
+                let begin = UNIX + self.now + 6_000 + self.below(4_000);
+                let plan = Plan {
+                    site: name(site),
+                    begin,
+                    length: 3_000,
+                    lead: 12_000,
+                    latest: 6_000,
+                    reserve: 10,
+                    overrun: Overrun::Return,
+                };
+                Command::Window { token: None, command: Window::Plan(plan) }
+            }
+            2 if self.now > 20_000 => Command::Freeze(Freeze::Open {
+                severity: Severity::Minor,
+                scope: Scope::Tenant(format!("t{}", self.now)),
+                evidence: "seen".into(),
+                by: By::Person("ann".into()),
+            }),
+            _ => Command::Freeze(Freeze::Ask(Wish {
+                kind: Kind::Settings,
+                scope: Scope::Class(format!("c{}", self.now % 3)),
+                who: "tom".into(),
+                worth: 1,
+                runs_for: 3_000,
+                reaction: Reaction::Finish,
+            })),
+        };
+        self.tickets += 1;
+        let (ticket, now) = (self.tickets, self.now);
+        let one = &mut self.ones[i];
+        let local = one.clock.read(now);
+        if let Some(member) = one.member.as_mut().filter(|_| one.stopped_until <= now) {
+            member.ask(local, ticket, command);
+        }
+        self.drain(i);
+        let next = now + 300 + self.below(1_500);
+        // Nobody acts in the last seconds, so that followers can be held to what was acknowledged.
+        if next < END - 3_000 {
+            self.at(next, Happens::Person);
+        }
+    }
+
+    fn kill(&mut self, i: usize) {
+        let one = &mut self.ones[i];
+        (one.member, one.stopped_until) = (None, 0);
+        one.life += 1;
+        // Its connections are seen to break.
+        let copies: Vec<usize> = (KEEPERS..COPIES).filter(|c| self.ones[*c].follows == Some(i)).collect();
+        for copy in copies {
+            let local = self.ones[copy].clock.read(self.now);
+            if let Some(member) = &mut self.ones[copy].member {
+                member.connected(local, i, false);
+            }
+            let life = self.ones[copy].life;
+            self.at(self.now + 200, Happens::Connected(copy, life, i));
+        }
+        if self.fault == Fault::NoSync {
+            let before = self.ones[i].before.borrow().clone();
+            *self.ones[i].kept.borrow_mut() = before;
+        }
+    }
+
+    fn cut_links(&mut self, links: Vec<(usize, usize)>) {
+        for link in &links {
+            *self.cut.entry(*link).or_default() += 1;
+        }
+        let long = 300 + self.below(6_000);
+        self.at(self.now + long, Happens::Heal(links));
+    }
+
+    fn trouble(&mut self) {
+        let now = self.now;
+        if now >= FAULTS_END {
+            for i in 0..COPIES {
+                if self.ones[i].member.is_none() {
+                    self.at(now, Happens::Start(i));
+                }
+                self.ones[i].stopped_until = self.ones[i].stopped_until.min(now);
+            }
+            return;
+        }
+        let i = self.below(COPIES as u64) as usize;
+        let all = 0..COPIES;
+        match self.below(11) {
+            // One is cut off, in one direction or in both.
+            0 => self.cut_links(all.filter(|j| *j != i).map(|j| (i, j)).collect()),
+            1 => self.cut_links(all.filter(|j| *j != i).map(|j| (j, i)).collect()),
+            2 => self.cut_links(all.filter(|j| *j != i).flat_map(|j| [(i, j), (j, i)]).collect()),
+            // From the keepers alone.
+            3 => {
+                let keepers = (0..KEEPERS).filter(|j| *j != i);
+                self.cut_links(keepers.flat_map(|j| [(i, j), (j, i)]).collect());
+            }
+            4 | 5 => {
+                let long = [300, 2_500, 9_000][self.below(3) as usize];
+                self.ones[i].stopped_until = self.ones[i].stopped_until.max(now + long);
+            }
+            6 | 7 if self.ones[i].member.is_some() => {
+                self.kill(i);
+                let again = now + self.below(3_000);
+                self.at(again, Happens::Start(i));
+            }
+            // All keepers at once.
+            9 if self.below(3) == 0 => {
+                for keeper in 0..KEEPERS {
+                    if self.ones[keeper].member.is_some() {
+                        self.kill(keeper);
+                        let again = now + self.below(1_500);
+                        self.at(again, Happens::Start(keeper));
+                    }
+                }
+            }
+            // A keeper loses its disk, or gets an older copy of it; the next one only once all is well again.
+            8 if i < KEEPERS && self.is_whole() && now > self.worn => {
+                self.worn = now + 5_000;
+                self.kill(i);
+                let one = &mut self.ones[i];
+                let old = one.old.take().filter(|_| self.fault == Fault::None);
+                let id = if self.fault == Fault::OldName { one.kept.borrow().id } else { 0 };
+                let founders = if id == 0 { Vec::new() } else { one.kept.borrow().founders.clone() };
+                let blank = Kept { id, boot: if id == 0 { 0 } else { 50 }, founders, ..Kept::default() };
+                *one.kept.borrow_mut() = old.unwrap_or(blank);
+                self.at(now + 200, Happens::Start(i));
+            }
+            _ => {
+                // A clock steps, and a copy of a disk is put by.
+                let step = self.below(7_200_000) as i64 - 3_600_000;
+                let one = &mut self.ones[i];
+                one.clock.steps = step;
+                one.old = Some(one.kept.borrow().clone()).filter(|kept| kept.takes_part);
+            }
+        }
+        let next = now + 200 + self.below(2_500);
+        self.at(next, Happens::Trouble);
+    }
+
+    /// Whether all keepers run, are members, and know the same: then one of them may lose all that it knows.
+    fn is_whole(&self) -> bool {
+        let keepers = || self.ones[..KEEPERS].iter().map(|one| one.member.as_ref().and_then(|m| m.keeper()));
+        let ids: Vec<u64> = keepers().flatten().map(|k| k.id()).collect();
+        let applied = keepers().flatten().map(|k| k.applied());
+        ids.len() == KEEPERS
+            && self.cut.values().all(|cuts| *cuts == 0)
+            && self.ones.iter().all(|one| one.stopped_until <= self.now)
+            && keepers()
+                .flatten()
+                .all(|k| ids.iter().all(|id| k.members().contains(id)) && k.members().len() == KEEPERS)
+            && applied.clone().max().unwrap_or(0) - applied.min().unwrap_or(0) < 3
+    }
+
+    fn look(&mut self) {
+        let now = self.now;
+        let mut held: BTreeMap<Duty, usize> = BTreeMap::new();
+        for one in &self.ones {
+            let Some(member) = &one.member else { continue };
+            for (duty, _) in member.holds(one.clock.read(now)) {
+                *held.entry(duty).or_default() += 1;
+            }
+        }
+        if let Some((duty, many)) = held.iter().find(|(_, many)| **many > 1) {
+            self.wrong.push(format!("{now}: {many} copies hold {duty}"));
+        }
+        for i in 0..KEEPERS {
+            let Some(keeper) = self.ones[i].member.as_ref().and_then(|m| m.keeper()) else { continue };
+            let (state, index) = (keeper.state(), keeper.state().index());
+            if self.states.contains_key(&index) && !self.events.is_multiple_of(16) {
+                continue;
+            }
+            let mut hasher = DefaultHasher::new();
+            state.hash(&mut hasher);
+            let hash = hasher.finish();
+            if *self.states.entry(index).or_insert(hash) != hash {
+                self.wrong.push(format!("{now}: keeper {i} knows another state of index {index}"));
+            }
+            let wrong = state.register().wrong().or(state.windows().wrong());
+            self.wrong.extend(wrong.map(|why| format!("{now}: {why}")));
+        }
+    }
+
+    fn judge_end(&mut self) {
+        for i in 0..COPIES {
+            let Some(member) = &self.ones[i].member else {
+                self.wrong.push(format!("copy {i} is not there at the end"));
+                continue;
+            };
+            let state = member.state();
+            let lost = self.acknowledged.iter().find(|n| {
+                let known = state.register().incidents().contains_key(n);
+                !known && !state.register().record().iter().any(|line| line.about == **n)
+            });
+            if let Some(lost) = lost {
+                self.wrong.push(format!("copy {i} has forgotten what was acknowledged as {lost}"));
+            }
+            if !member.is_open() {
+                self.wrong.push(format!("the gates of copy {i} are closed"));
+            }
+        }
+        let coordinator = Duty::new(hillstall_quorum::state::COORDINATOR).expect("a name");
+        let held = self.ones.iter().filter_map(|one| Some((one.member.as_ref()?, one.clock.read(self.now))));
+        let held: usize =
+            held.map(|(m, now)| m.holds(now).iter().filter(|(duty, _)| *duty == coordinator).count()).sum();
+        if held != 1 {
+            self.wrong.push(format!("{held} coordinators 20 s after the last fault"));
+        }
+        let indexes: Vec<u64> =
+            self.ones.iter().filter_map(|o| Some(o.member.as_ref()?.state().index())).collect();
+        let (low, high) = (indexes.iter().min().unwrap_or(&0), indexes.iter().max().unwrap_or(&0));
+        if high - low > 40 {
+            self.wrong.push(format!("some know much less than others: {indexes:?}"));
+        }
+    }
+
+    pub fn applied_most(&self) -> u64 {
+        self.ones.iter().filter_map(|o| Some(o.member.as_ref()?.state().index())).max().unwrap_or(0)
+    }
+
+    pub fn windows_begun(&self) -> usize {
+        let state = self.ones[0].member.as_ref().map(|m| m.state());
+        let begun = |w: &&hillstall_maintenance::machine::Window| {
+            w.part < 1_000 || (w.stage == Stage::Done && w.why.is_empty())
+        };
+        state.map_or(0, |s| s.windows().all().values().filter(begun).count())
+    }
+}
+
+impl One {
+    fn clocks(&self, now: Millis) -> (Millis, Millis) {
+        let unix = (UNIX + now) as i64 + self.clock.steps;
+        (self.clock.read(now), unix as Millis)
+    }
+}
--- a/crates/storm/src/lib.rs
+++ b/crates/storm/src/lib.rs
@@ -2,6 +2,7 @@
 //! arguments give equal answers. The decision module calls it.
 
 pub mod room;
+pub mod site;
 
 /// A time or a length of time, in milliseconds.
 pub type Millis = f64;
