--- a/crates/drill/src/talk.rs
+++ b/crates/drill/src/talk.rs
@@ -245,3 +245,41 @@
 pub fn to_keeper(of: usize) -> impl Fn(Ends) -> bool + Copy {
     move |ends| matches!(ends, Ends::Keeper { slot, .. } if slot == of)
 }
+
+impl Fleet {
+    /// The servers that stand in a zone, over all tiers.
+    pub fn servers_of_zone(&self, zone: usize) -> Vec<usize> {
+        let places = self.figures.tiers.iter().flat_map(|tier| tier.places.iter());
+        places.enumerate().filter(|(_, place)| place.zone == zone).map(|(number, _)| number).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn act(at: u64, process: usize, what: &str, duty: &str, token: u64, part: u64) -> Act {
+        let (what, duty) = (what.to_owned(), duty.to_owned());
+        Act { process, life: 1, at, what, duty, token, part: Some(part) }
+    }
+
+    #[test]
+    fn each_rule_on_owners_is_seen_broken() {
+        let good = [
+            act(1, 0, "holds", "shift/a", 1, 0),
+            act(2, 3, "carried out", "shift/a", 1, 500),
+            act(3, 3, "carried out", "shift/a", 2, 1_000),
+            act(4, 3, "carried out", "shift/b", 3, 500),
+        ];
+        assert!(judge(&good).is_empty());
+        let mut old = good.to_vec();
+        old.push(act(5, 3, "carried out", "shift/a", 1, 500));
+        assert!(judge(&old).iter().any(|wrong| wrong.contains("tokens fell")));
+        let mut two = good.to_vec();
+        two.push(act(5, 1, "holds", "shift/a", 1, 0));
+        assert!(judge(&two).iter().any(|wrong| wrong.contains("two holders")));
+        let mut away = good.to_vec();
+        away.push(act(5, 3, "carried out", "shift/a", 4, 0));
+        assert!(judge(&away).iter().any(|wrong| wrong.contains("two sites away")));
+    }
+}
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -344,3 +344,66 @@
             .collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str =
+        "[fleet]\nname = \"shop\"\nkeepers = [\"127.0.0.1:1\", \"127.0.0.1:2\", \"127.0.0.1:3\"]\n";
+
+    fn line(text: &str, at: usize) -> usize {
+        text[..at].matches('\n').count() + 1
+    }
+
+    #[test]
+    fn what_is_good_is_read_and_what_is_absent_is_none() {
+        assert!(read("[log]\nlevel = \"info\"\n").expect("it is read").is_none());
+        let text = format!("{GOOD}people = [[\"mira\", \"mk\"]]\nterm = \"3s\"\n");
+        let read = read(&text).expect("it is read").expect("there is one");
+        assert_eq!((read.keepers.len(), read.keeper, read.terms.term()), (3, None, 3_000));
+        assert_eq!(read.people["mk"], "mira");
+    }
+
+    #[test]
+    fn each_fault_is_told_with_its_line_and_key() {
+        let window = |more: &str| {
+            format!("[[fleet.window]]\nsite = \"a\"\nstart = \"2040-05-03T02:00\"\nzone = \"UTC\"\nlength = \"1h\"\nlead = \"10m\"\n{more}")
+        };
+        let cases = [
+            ("keeper = 0\n".to_owned(), 4, "fleet.keeper", "fleet.listen"),
+            ("keeper = 7\nlisten = \"127.0.0.1:9\"\ndisk = \"/x\"\n".to_owned(), 4, "fleet.keeper", "place"),
+            ("listen = \"127.0.0.1:9\"\n".to_owned(), 4, "fleet.listen", "only a keeper"),
+            ("disk = \"/x\"\n".to_owned(), 4, "fleet.disk", "only a keeper"),
+            ("from = [\"here\"]\n".to_owned(), 4, "fleet.from", "IPv4"),
+            ("term = \"soon\"\n".to_owned(), 4, "fleet.term", "not a time"),
+            ("term = \"10ms\"\n".to_owned(), 4, "fleet.term", "200 ms"),
+            ("drift = 40\n".to_owned(), 4, "fleet.drift", "out of bounds"),
+            ("step = 0\n".to_owned(), 4, "fleet.step", "out of bounds"),
+            ("trem = \"2s\"\n".to_owned(), 4, "fleet.trem", "unknown field"),
+            ("people = [[\"a\"], [\"a\"]]\n".to_owned(), 4, "fleet.people", "two people"),
+            (window("zone2 = 1\n"), 10, "fleet.window.zone2", "unknown field"),
+            (window("every = \"often\"\n"), 10, "fleet.window.every", "calendar"),
+            (window("overrun = \"stay\"\n"), 10, "fleet.window.overrun", "none of"),
+            (window("reserve = 99\n"), 10, "fleet.window.reserve", "out of bounds"),
+        ];
+        for (more, at, key, why) in cases {
+            let text = format!("{GOOD}{more}");
+            let wrong = read(&text).expect_err(&more);
+            let found = wrong.iter().find(|w| w.key == key && w.why.contains(why));
+            let found = found.unwrap_or_else(|| panic!("{more}: {wrong:?}"));
+            assert_eq!(line(&text, found.at), at, "{more}: {wrong:?}");
+        }
+        let two = format!("{GOOD}{}{}", window(""), window("").replace("\"a\"", "\"b\""));
+        let read = read(&two).expect("it is read").expect("there is one");
+        let told = read.contradictions(&[], Duration::from_secs(1_800_000_000));
+        assert!(told.iter().any(|w| w.key == "fleet.window.start" && line(&two, w.at) == 10), "{told:?}");
+    }
+
+    proptest::proptest! {
+        #[test]
+        fn no_text_makes_it_panic(text in "(\\[fleet\\]\n)?[ -~\n]{0,200}") {
+            let _ = read(&text);
+        }
+    }
+}
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -63,6 +63,7 @@
 }
 
 enum Said {
+    Signal(&'static str),
     Report(Report),
     Line(String, oneshot::Sender<String>),
     Leave(oneshot::Sender<()>),
@@ -91,6 +92,11 @@
         Some(answered)
     }
 
+    /// The platform has signalled this copy. It is written down as a change without a permit, and holds nothing up.
+    pub fn signalled(&self, signal: &'static str) {
+        let _ = self.say.send(Said::Signal(signal));
+    }
+
     /// This copy ends: returns once others have its duties, or after a while.
     pub async fn leave(&self) {
         let (done, left) = oneshot::channel();
@@ -291,10 +297,10 @@
         let now = self.now();
         match said {
             Said::Report(report) => self.member.report(now, report),
+            Said::Signal(signal) => self.write_down(now, signal),
             Said::Leave(done) => {
                 self.leaving = Some(done);
-                let what = format!("copy {} ends by a signal", self.copy.rank);
-                self.member.tell(now, Command::Freeze(hillstall_freeze::register::Command::Signal { what }));
+                self.write_down(now, "SIGTERM");
                 self.member.leave(now);
             }
             Said::Line(line, answer) => {
@@ -307,6 +313,11 @@
         }
     }
 
+    fn write_down(&mut self, now: u64, signal: &str) {
+        let what = format!("{signal} at copy {}", self.copy.rank);
+        self.member.tell(now, Command::Freeze(hillstall_freeze::register::Command::Signal { what }));
+    }
+
     /// The answer, or `None` if the keepers have to agree first.
     fn line(&mut self, now: u64, line: &str) -> Option<String> {
         let state = self.member.state();
@@ -498,7 +509,7 @@
                 Said::Leave(done) => {
                     let _ = done.send(());
                 }
-                Said::Report(_) => {}
+                Said::Report(_) | Said::Signal(_) => {}
             },
         }
     }
--- a/crates/freeze/src/scope.rs
+++ b/crates/freeze/src/scope.rs
@@ -13,6 +13,8 @@
     Site(String),
     /// A tier, over all sites.
     Tier(String),
+    /// The copies that keep the fleet's state. They carry calls as others do, so this says nothing of any site.
+    Keepers,
     /// A class of calls.
     Class(String),
     /// A tenant.
@@ -28,7 +30,7 @@
 
 /// A text that names no part of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{0:?} is no scope: fleet, site:NAME, tier:NAME, class:NAME, tenant:NAME or copy:SITE/RANK")]
+#[error("{0:?} is no scope: fleet, keepers, site:NAME, tier:NAME, class:NAME, tenant:NAME or copy:SITE/RANK")]
 pub struct BadScope(String);
 
 impl Scope {
@@ -44,6 +46,8 @@
                 a == site
             }
             (Scope::Copy { .. }, Scope::Copy { .. }) => self == other,
+            (Scope::Keepers, Scope::Site(_) | Scope::Tier(_) | Scope::Class(_) | Scope::Tenant(_)) => false,
+            (Scope::Site(_) | Scope::Tier(_) | Scope::Class(_) | Scope::Tenant(_), Scope::Keepers) => false,
             _ => true,
         }
     }
@@ -54,8 +58,10 @@
 
     fn from_str(text: &str) -> Result<Scope, BadScope> {
         let bad = || BadScope(text.chars().take(crate::NAME_MOST).collect());
-        if text == "fleet" {
-            return Ok(Scope::Fleet);
+        match text {
+            "fleet" => return Ok(Scope::Fleet),
+            "keepers" => return Ok(Scope::Keepers),
+            _ => {}
         }
         let (kind, name) = text.split_once(':').ok_or_else(bad)?;
         if !crate::is_name(name) {
@@ -81,6 +87,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Scope::Fleet => f.write_str("fleet"),
+            Scope::Keepers => f.write_str("keepers"),
             Scope::Site(name) => write!(f, "site:{name}"),
             Scope::Tier(name) => write!(f, "tier:{name}"),
             Scope::Class(name) => write!(f, "class:{name}"),
--- a/crates/hillstall/src/main.rs
+++ b/crates/hillstall/src/main.rs
@@ -81,6 +81,7 @@
         driver: driver.clone(),
         upstream: upstream.clone(),
         limits: limits.clone(),
+        fleet: fleet.clone(),
     };
     spawn_local(async move {
         while reload.recv().await.is_some() {
@@ -145,11 +146,15 @@
     driver: Rc<Driver<Upstream>>,
     upstream: Rc<Upstream>,
     limits: Rc<Limits>,
+    fleet: Option<Rc<hillstall_fleet::Handle>>,
 }
 
 impl Reloads {
     /// Reads both files again. Each is taken whole, or not at all: one wrong key leaves the old settings.
     fn reload(&self) {
+        if let Some(fleet) = &self.fleet {
+            fleet.signalled("SIGHUP");
+        }
         match config::reload(environment) {
             Ok(discovery) => self.driver.follow(discovery),
             Err(why) => tracing::error!("not reloaded: {why}"),
--- a/crates/hillstall/tests/fleet/freeze.rs
+++ b/crates/hillstall/tests/fleet/freeze.rs
@@ -1,1 +1,163 @@
+//! Incidents, permits, and their coordinator, while parts of the fleet fail.
 
+use crate::talking::{cut, settled, sure, talk, COORDINATOR, SOON};
+use hillstall_drill::fleet::{Ends, Fleet};
+use hillstall_drill::keeper::Sign;
+use hillstall_drill::link::Fault;
+use hillstall_drill::talk::from_process;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Two people, one of whom has two names.
+const PEOPLE: &str = "people = [[\"mira\", \"m.k\"], [\"tom\"], [\"ann\"]]\n";
+
+async fn says(fleet: &Fleet, process: usize, line: &str, begins: &str) -> Result<String, String> {
+    let text = fleet.line(process, line).await.unwrap_or_default();
+    sure(text.starts_with(begins), || format!("{line}: {text:?} where {begins:?} was wanted"))?;
+    Ok(text)
+}
+
+/// The number in an answer.
+fn number(text: &str) -> String {
+    text.split_whitespace().nth(1).unwrap_or("?").to_owned()
+}
+
+#[test]
+fn an_incident_bars_what_conflicts_at_every_copy_and_not_what_remedies_it() {
+    talk("drill-duties", 3, PEOPLE, |fleet| async move {
+        settled(&fleet).await?;
+        let before = says(&fleet, 4, "CHANGE ASK upgrade site:zone-1 tom reaction=undo", "200").await?;
+        let incident =
+            number(&says(&fleet, 3, "INCIDENT OPEN critical site:zone-0 ann boxes are gone", "200").await?);
+        for process in [0, 2, 5, 8, 12] {
+            says(&fleet, process, "CHANGE ASK settings site:zone-2 tom", "409").await?;
+        }
+        fleet
+            .until(6, "CHANGE", SOON, |text| {
+                text.contains(&format!("{} upgrade site:zone-1 reacts", number(&before)))
+            })
+            .await?;
+        says(&fleet, 4, &format!("CHANGE DONE {}", number(&before)), "200").await?;
+        let remedy = number(&says(&fleet, 5, "CHANGE ASK drain site:zone-0 tom", "409").await?);
+        says(&fleet, 6, &format!("INCIDENT REMEDY {incident} {remedy} ann"), "200").await?;
+        fleet
+            .until(5, "CHANGE", SOON, |text| text.contains(&format!("{remedy} drain site:zone-0 in-flight")))
+            .await?;
+        says(&fleet, 2, &format!("INCIDENT RESOLVE {incident} ann"), "200").await?;
+        // It bars until it has cooled down.
+        says(&fleet, 7, "CHANGE ASK operator-file site:zone-2 tom", "409").await.map(|_| ())
+    });
+}
+
+#[test]
+fn an_emergency_takes_two_people_and_not_two_names() {
+    talk("drill-duties", 3, PEOPLE, |fleet| async move {
+        settled(&fleet).await?;
+        says(&fleet, 3, "INCIDENT OPEN critical fleet ann", "200").await?;
+        says(&fleet, 4, "CHANGE EMERGENCY settings class:browse mira", "202").await?;
+        says(&fleet, 9, "CHANGE EMERGENCY settings class:browse m.k", "400").await?;
+        says(&fleet, 9, "CHANGE EMERGENCY settings class:browse eve", "400").await?;
+        let given = says(&fleet, 6, "CHANGE EMERGENCY settings class:browse tom", "200").await?;
+        fleet
+            .until(11, "RECORD", SOON, |text| {
+                text.contains(&format!("{} emergency seconded by tom", number(&given)))
+            })
+            .await?;
+        // Emergency or not, what meets it waits.
+        says(&fleet, 5, "CHANGE ASK upgrade fleet mira", "202").await.map(|_| ())
+    });
+}
+
+#[test]
+fn only_the_half_with_most_keepers_gives_permits() {
+    talk("drill-duties", 5, PEOPLE, |fleet| async move {
+        settled(&fleet).await?;
+        // Keepers 0 and 1 on one side, 2 to 4 on the other; all other copies hear both.
+        let between = |ends: Ends| {
+            matches!(ends, Ends::Keeper { process, slot }
+            if process < 5 && (process < 2) != (slot < 2))
+        };
+        cut(&fleet, Fault::Silent, between)?;
+        let few = says(&fleet, 0, "CHANGE ASK drain site:zone-0 tom", "504");
+        let many = says(&fleet, 3, "CHANGE ASK drain site:zone-0 mira", "200");
+        let (few, many) = tokio::join!(few, many);
+        few?;
+        let held = match many {
+            Ok(text) => text,
+            // The side was still electing.
+            Err(_) => says(&fleet, 3, "CHANGE ASK drain site:zone-0 mira", "20").await?,
+        };
+        sure(!held.is_empty(), || "no permit where most keepers are".into())?;
+        let before = fleet.passed(between);
+        sleep(Duration::from_millis(300)).await;
+        sure(fleet.passed(between) == before, || "something passes the cut".into())?;
+        fleet.set(Fault::None, between);
+        // Both halves come to one state: one permit for the site, and nothing in flight beside it.
+        let same =
+            |text: &str| text.lines().filter(|l| l.contains("drain site:zone-0 in-flight")).count() == 1;
+        for process in 0..5 {
+            fleet.until(process, "CHANGE", SOON, same).await?;
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_lost_site_becomes_an_incident_and_bars_changes_though_its_coordinator_dies() {
+    talk("drill-duties", 3, PEOPLE, |fleet| async move {
+        settled(&fleet).await?;
+        let (first, _) = fleet.new_owner(COORDINATOR, &[], SOON).await?;
+        says(&fleet, 4, "CHANGE ASK upgrade site:zone-1 tom", "200").await?;
+        // All servers of one zone fall silent for all proxies.
+        let boxes: Vec<usize> = fleet.servers_of_zone(1);
+        let lost = |ends: Ends| matches!(ends, Ends::Server { server, .. } if boxes.contains(&server));
+        fleet.set(Fault::Reset, lost);
+        let seen = |text: &str| text.lines().any(|l| l.contains("site:zone-1 active by=rule/"));
+        fleet.until(9, "INCIDENT", SOON, seen).await?;
+        fleet.until(9, "CHANGE", SOON, |text| text.contains("upgrade site:zone-1 reacts")).await?;
+        // The one who opened it dies; the incident is not its own to take along.
+        fleet.signal(first, Sign::Kill).map_err(|why| why.to_string())?;
+        fleet.new_owner(COORDINATOR, &[first], SOON).await?;
+        fleet.until(9, "INCIDENT", SOON, seen).await?;
+        let barred =
+            fleet.line((first + 1) % 3, "CHANGE ASK drain site:zone-1 mira").await.unwrap_or_default();
+        sure(barred.starts_with("409") || barred.starts_with("202"), || barred.clone())?;
+        fleet.set(Fault::None, lost);
+        fleet.start_process(first).await.map_err(|why| why.to_string())
+    });
+}
+
+#[test]
+fn a_calm_fleet_has_no_incident() {
+    talk("drill-duties", 3, PEOPLE, |fleet| async move {
+        settled(&fleet).await?;
+        for _ in 0..40 {
+            sleep(Duration::from_millis(200)).await;
+            let text = fleet.line(4, "INCIDENT").await.unwrap_or_default();
+            sure(text == "EOF\n", || text.clone())?;
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn two_coordinators_each_sure_of_itself_leave_one_history() {
+    talk("drill-duties", 3, PEOPLE, |fleet| async move {
+        settled(&fleet).await?;
+        let (first, token) = fleet.new_owner(COORDINATOR, &[], SOON).await?;
+        // It stands still, with all that it believes; another is elected, and it goes on.
+        fleet.signal(first, Sign::Stop).map_err(|why| why.to_string())?;
+        let (second, newer) = fleet.new_owner(COORDINATOR, &[first], SOON).await?;
+        sure(newer > token, || format!("{newer} after {token}"))?;
+        says(&fleet, second, "INCIDENT OPEN major site:zone-2 ann", "200").await?;
+        cut(&fleet, Fault::LoseBack, from_process(first))?;
+        fleet.signal(first, Sign::Go).map_err(|why| why.to_string())?;
+        let barred =
+            fleet.line((first + 1) % 3, "CHANGE ASK drain site:zone-2 mira").await.unwrap_or_default();
+        sure(barred.starts_with("409"), || barred.clone())?;
+        fleet.set(Fault::None, from_process(first));
+        fleet.until(first, "INCIDENT", SOON, |text| text.contains("major site:zone-2 active by=ann")).await?;
+        let now = fleet.new_owner(COORDINATOR, &[], SOON).await?;
+        sure(now.1 >= newer, || format!("{now:?} after {newer}"))
+    });
+}
--- a/crates/hillstall/tests/fleet/main.rs
+++ b/crates/hillstall/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 //! drill is judged by what the copies say and by the record that they write of their acts, and the rules on calls are held
 //! to as in every drill.
 
+mod figures;
 mod freeze;
 #[path = "../drill/harness.rs"]
 #[allow(dead_code)]
--- a/crates/lease/src/book.rs
+++ b/crates/lease/src/book.rs
@@ -32,8 +32,9 @@
     pub signs: u64,
 }
 
+/// All that the book has of one duty.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-struct Entry {
+pub struct Entry {
     grant: Option<Grant>,
     /// The highest token that was ever given out for it.
     last: Token,
@@ -41,6 +42,17 @@
     standing: Vec<Standing>,
 }
 
+impl Entry {
+    /// Whether the same copies hold it and stand for it, however often they have said so since.
+    pub fn is_like(&self, other: &Entry) -> bool {
+        let grant = |of: &Entry| of.grant.map(|grant| (grant.holder, grant.token));
+        let same = |a: &Standing, b: &Standing| (a.copy, a.rank) == (b.copy, b.rank);
+        grant(self) == grant(other)
+            && self.standing.len() == other.standing.len()
+            && self.standing.iter().zip(&other.standing).all(|(a, b)| same(a, b))
+    }
+}
+
 /// What is proposed to the keepers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Command {
@@ -214,6 +226,17 @@
         self.duties.get(duty).map_or(Token::default(), |entry| entry.last)
     }
 
+    /// What the book has of a duty.
+    pub fn entry(&self, duty: &Duty) -> Option<&Entry> {
+        self.duties.get(duty)
+    }
+
+    /// Takes over what another book has of a duty: for copies that are told the outcome and not each command.
+    pub fn set(&mut self, duty: &Duty, entry: Entry) {
+        self.newest = self.newest.max(entry.last);
+        self.duties.insert(duty.clone(), entry);
+    }
+
     /// All duties, with who holds them and who stands for them.
     pub fn duties(&self) -> impl Iterator<Item = (&Duty, Option<Grant>, &[Standing])> {
         self.duties.iter().map(|(duty, entry)| (duty, entry.grant, entry.standing.as_slice()))
--- a/crates/quorum/src/frame.rs
+++ b/crates/quorum/src/frame.rs
@@ -3,8 +3,9 @@
 use crate::keeper::Word;
 use crate::reports::Report;
 use crate::state::{Id, Outcome, Proposal};
+use hillstall_lease::book::Entry;
 use hillstall_lease::gate::Order;
-use hillstall_lease::Copy;
+use hillstall_lease::{Copy, Duty};
 use hillstall_maintenance::Part;
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +14,15 @@
 /// Most bytes of a frame: the largest state there can be has room.
 pub const FRAME_MOST: usize = 4 * 1024 * 1024;
 
+/// What a follower is told of something that was applied.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Piece {
+    /// The command itself, which acts there as it did here.
+    Command(Proposal),
+    /// Who holds a duty and stands for it now: of most commands about duties only signs of life are left.
+    Duty(Duty, Entry),
+}
+
 /// A frame.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -57,11 +67,11 @@
         /// Its index.
         index: u64,
         /// What.
-        proposal: Proposal,
+        piece: Piece,
     },
     /// A follower has got that far.
     Ack(u64),
-    /// Nothing happens; the keeper has applied so far.
+    /// Nothing happens; that is the last that the follower was told of, or 0 if it is not told all yet.
     Beat(u64),
     /// An order, on its way to all copies.
     Order(Order<Part>),
--- a/crates/quorum/src/keeper.rs
+++ b/crates/quorum/src/keeper.rs
@@ -4,7 +4,8 @@
 
 use crate::disk::{Change, Disk, Kept};
 use crate::log::Log;
-use crate::state::{Outcome, Proposal, State};
+use crate::state::{Command, Outcome, Proposal, State};
+use hillstall_lease::book::Entry as DutyEntry;
 use hillstall_lease::Millis;
 use protobuf::Message as _;
 use raft::eraftpb::{ConfChange, ConfChangeSingle, ConfChangeType, ConfChangeV2, Entry, EntryType};
@@ -79,8 +80,9 @@
 pub enum News {
     /// Send this to a keeper, by its slot.
     Send(usize, Word),
-    /// An entry was applied.
-    Applied(u64, Proposal, Outcome),
+    /// An entry was applied; with the duty as it was right after, if it was about one: what others are told of it must not
+    /// be ahead of what follows.
+    Applied(u64, Proposal, Outcome, Option<DutyEntry>),
     /// The whole state was replaced.
     Restored,
     /// A true read has its answer: the state is as new as when it was asked.
@@ -620,7 +622,11 @@
                 _ => {
                     if let Ok(proposal) = postcard::from_bytes::<Proposal>(&entry.data) {
                         let outcome = self.state.apply(entry.index, &proposal);
-                        self.news.push(News::Applied(entry.index, proposal, outcome));
+                        let duty = match &proposal.command {
+                            Command::Lease(command) => self.state.book().entry(command.duty()).cloned(),
+                            _ => None,
+                        };
+                        self.news.push(News::Applied(entry.index, proposal, outcome, duty));
                     }
                     None
                 }
--- a/crates/quorum/src/member.rs
+++ b/crates/quorum/src/member.rs
@@ -3,7 +3,7 @@
 
 use crate::disk::Disk;
 use crate::duties::{Duties, Owned};
-use crate::frame::Frame;
+use crate::frame::{Frame, Piece};
 use crate::keeper::{Keeper, News, Word};
 use crate::reports::{Report, Reports};
 use crate::state::{Command, Id, Outcome, Proposal, State, COORDINATOR};
@@ -318,20 +318,26 @@
                     None
                 }
             },
-            Frame::Applied { after, index, proposal } => {
+            Frame::Applied { after, index, piece } => {
                 let known = self.replica.index();
-                if after == known && index > known {
-                    self.replica.apply(index, &proposal);
+                if after <= known && index > known {
+                    match piece {
+                        Piece::Command(proposal) => {
+                            self.replica.apply(index, &proposal);
+                        }
+                        Piece::Duty(duty, entry) => self.replica.set_duty(index, &duty, entry),
+                    }
                     self.replica_at = Some(now);
                 }
                 // With a gap nothing later can be applied: the whole state is asked for.
                 Some(if after > known { 0 } else { index })
             }
-            Frame::Beat(index) => {
-                if index <= self.replica.index() || self.replica_at.is_some() {
+            Frame::Beat(told) => {
+                let missed = told > self.replica.index();
+                if !missed && self.replica_at.is_some() {
                     self.replica_at = Some(now);
                 }
-                Some(self.replica.index()).filter(|_| self.replica_at.is_some())
+                Some(if missed { 0 } else { self.replica.index() })
             }
             Frame::Answer { id, outcome } if id.copy == self.setup.copy => {
                 self.settle(now, id.number, outcome);
@@ -457,8 +463,11 @@
         for news in keeper.news() {
             match news {
                 News::Send(slot, word) => self.out.push(Out::Send(To::Keeper(slot), Frame::Word(word))),
-                News::Applied(index, proposal, outcome) => {
-                    self.streams.applied(index, &proposal);
+                News::Applied(index, proposal, outcome, duty) => {
+                    // A follower knows fewer of a copy's commands, so it could take one that was refused here for its age.
+                    if outcome != Outcome::TooLate {
+                        self.streams.applied(index, &proposal, duty);
+                    }
                     let id = proposal.id;
                     if id.copy == self.setup.copy {
                         self.settle(now, id.number, outcome);
@@ -471,7 +480,7 @@
                     self.streams.restored(index);
                 }
                 News::Read(number) => {
-                    let index = self.keeper.as_ref().map_or(0, |keeper| keeper.applied());
+                    let index = self.streams.last();
                     match self.reads.remove(&number) {
                         Some(Reader::Own) => self.opens_at = Some(index),
                         Some(Reader::Copy(copy, number)) => {
@@ -687,7 +696,7 @@
         if let Some(heard) = self.keeper.as_ref().and_then(|keeper| keeper.heard()) {
             let margin = heard <= self.setup.keepers / 2 + 1 && self.setup.keepers > 1;
             let level = if margin { 1.0 } else { 0.0 };
-            facts.push(Fact { scope: Scope::Tier("keepers".into()), sign: Sign::Margin, level });
+            facts.push(Fact { scope: Scope::Keepers, sign: Sign::Margin, level });
         }
         let register = self.keeper.as_ref().map_or(&self.replica, |keeper| keeper.state()).register();
         let commands = self.detector.look(now, &facts, register, token.0);
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -170,6 +170,12 @@
         }
     }
 
+    /// Takes over what a keeper has of a duty at `index`: followers are told the outcome, not each renewal.
+    pub fn set_duty(&mut self, index: u64, duty: &Duty, entry: book::Entry) {
+        self.index = self.index.max(index);
+        self.book.set(duty, entry);
+    }
+
     /// The index of the last entry that was applied.
     pub fn index(&self) -> u64 {
         self.index
--- a/crates/quorum/src/stream.rs
+++ b/crates/quorum/src/stream.rs
@@ -1,13 +1,14 @@
 //! How followers learn the state: a keeper sends each of those that are attached to it the whole state once, and then what
 //! is applied, as long as they keep up.
 
-use crate::frame::Frame;
-use crate::state::{Proposal, State};
-use hillstall_lease::{Copy, Millis};
+use crate::frame::{Frame, Piece};
+use crate::state::{Command, Proposal, State};
+use hillstall_lease::book::Entry;
+use hillstall_lease::{Copy, Duty, Millis};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Entries that may be out to a follower that has not said that it got them.
-const OUT_MOST: u64 = 128;
+/// Pieces that may be out to a follower that has not said that it got them.
+const OUT_MOST: usize = 128;
 /// Entries that are kept for followers; one that is further behind gets the whole state.
 const KEPT_MOST: usize = 512;
 /// Between two signs to a follower that hears nothing else.
@@ -28,8 +29,10 @@
 pub struct Streams {
     followers: BTreeMap<Copy, Follower>,
     /// Each with the index of the one before it.
-    kept: VecDeque<(u64, u64, Proposal)>,
+    kept: VecDeque<(u64, u64, Piece)>,
     last: u64,
+    /// Each duty as it was told last.
+    duties: BTreeMap<Duty, Entry>,
 }
 
 impl Streams {
@@ -53,9 +56,22 @@
         self.followers.contains_key(&copy)
     }
 
-    /// An entry was applied here.
-    pub fn applied(&mut self, index: u64, proposal: &Proposal) {
-        self.kept.push_back((self.last, index, proposal.clone()));
+    /// An entry was applied here, with the duty as it was right after if it was about one. Signs of life are passed over: with a few copies that stand for a
+    /// few duties there are some twenty a second, and no follower needs them.
+    pub fn applied(&mut self, index: u64, proposal: &Proposal, entry: Option<Entry>) {
+        let piece = match &proposal.command {
+            Command::Lease(command) => {
+                let duty = command.duty();
+                let Some(entry) = entry else { return };
+                if self.duties.get(duty).is_some_and(|told| told.is_like(&entry)) {
+                    return;
+                }
+                self.duties.insert(duty.clone(), entry.clone());
+                Piece::Duty(duty.clone(), entry.clone())
+            }
+            _ => Piece::Command(proposal.clone()),
+        };
+        self.kept.push_back((self.last, index, piece));
         self.last = index;
         if self.kept.len() > KEPT_MOST {
             self.kept.pop_front();
@@ -65,10 +81,16 @@
     /// The state was replaced as a whole, and is that of `index` now: what was kept does not lead there.
     pub fn restored(&mut self, index: u64) {
         self.last = index;
+        self.duties.clear();
         self.kept.clear();
         self.followers.values_mut().for_each(|follower| follower.next = None);
     }
 
+    /// The last entry that followers are told of.
+    pub fn last(&self) -> u64 {
+        self.last
+    }
+
     /// A follower says how far it is; 0 if it has missed something and needs the whole state.
     pub fn ack(&mut self, now: Millis, copy: Copy, index: u64) {
         if let Some(follower) = self.followers.get_mut(&copy) {
@@ -83,13 +105,13 @@
     /// What to send to whom now. `state` is applied up to `index`.
     pub fn feed(&mut self, now: Millis, index: u64, state: &State) -> Vec<(Copy, Frame)> {
         let mut out = Vec::new();
-        let first = self.kept.front().map_or(index + 1, |(_, at, _)| *at);
+        // The newest that is kept no more: whoever has not been told of it can't be led on.
+        let gone = self.kept.front().map_or(0, |(after, ..)| *after);
         let mut whole = None;
         for (copy, follower) in &mut self.followers {
             let before = out.len();
             let silent = now.saturating_sub(follower.heard_at) >= SILENT;
-            // One that was told all before what is kept can't be led on from there.
-            let lost = follower.next.is_none_or(|next| next < first && next <= index);
+            let lost = follower.next.is_none_or(|next| next <= gone);
             // It was given a state and has not got it yet: that is enough to be out to one that reads slowly.
             let waits = follower.next.is_some() && follower.acked == 0;
             if lost && !silent && !waits {
@@ -97,16 +119,19 @@
                 out.push((*copy, Frame::State(bytes.clone())));
                 (follower.next, follower.acked) = (Some(index + 1), 0);
             } else if let (Some(next), false) = (follower.next, silent || waits) {
-                let most = follower.acked.max(1) + OUT_MOST;
                 let from = self.kept.partition_point(|(_, at, _)| *at < next);
-                for (after, at, proposal) in self.kept.range(from..).take_while(|(_, at, _)| *at <= most) {
-                    let (after, index, proposal) = (*after, *at, proposal.clone());
-                    out.push((*copy, Frame::Applied { after, index, proposal }));
+                let acked = self.kept.partition_point(|(_, at, _)| *at <= follower.acked);
+                let room = OUT_MOST.saturating_sub(from.saturating_sub(acked));
+                for (after, at, piece) in self.kept.range(from..).take(room) {
+                    let (after, index, piece) = (*after, *at, piece.clone());
+                    out.push((*copy, Frame::Applied { after, index, piece }));
                     follower.next = Some(at + 1);
                 }
             }
             if out.len() == before && now.saturating_sub(follower.told_at) >= BEAT_EACH {
-                out.push((*copy, Frame::Beat(index)));
+                // What was lost on the way shows here, though nothing else may follow for long.
+                let told = if follower.next.is_some_and(|next| next > self.last) { self.last } else { 0 };
+                out.push((*copy, Frame::Beat(told)));
             }
             if out.len() > before {
                 follower.told_at = now;
--- /dev/null
+++ b/crates/quorum/tests/frames.rs
@@ -0,0 +1,32 @@
+//! Frames and snapshots from outside: whatever comes is read or refused, and nothing panics.
+
+use hillstall_lease::Copy;
+use hillstall_quorum::frame::{Frame, Unreadable, VERSION};
+use hillstall_quorum::state::State;
+use proptest::prelude::*;
+
+#[test]
+fn frames_come_back_as_they_went_and_other_versions_are_refused() {
+    let frame = Frame::Hello { fleet: "shop".into(), copy: Copy { rank: 3, life: 9 }, keeper: Some(1) };
+    let mut bytes = frame.encode();
+    assert_eq!(Frame::decode(&bytes), Ok(frame));
+    bytes[0] = VERSION + 1;
+    assert_eq!(Frame::decode(&bytes), Err(Unreadable::Version(VERSION + 1)));
+    assert!(Frame::decode(&[]).is_err());
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_make_it_panic(mut bytes in prop::collection::vec(any::<u8>(), 0..300), flips in 0..8usize) {
+        let _ = State::from_bytes(&bytes);
+        bytes.insert(0, VERSION);
+        let _ = Frame::decode(&bytes);
+        // A frame that was good once, with some of its bytes changed.
+        let mut good = Frame::State(State::default().to_bytes()).encode();
+        let last = good.len() - 1;
+        for flip in 0..flips {
+            good[(flip * 7) % last + 1] ^= bytes.get(flip).copied().unwrap_or(1);
+        }
+        let _ = Frame::decode(&good);
+    }
+}
