A follower leaves a keeper that says nothing, whoever takes its connection; steps go by what copies carry out

Cause: after the death of an owner a window stood at its first step. Seen in the copies' records: 7 of 13 carried out nothing more, and connected to the dead keeper's relay some nine times a second; each connection that was taken counted as a word of the keeper. Ruled out first: chance in the site's usual load (now a mean of five seconds), and load that moves with a lost front.

Change: only a frame ends a follower's silence; a step has been taken when three in four copies say that they carry it out.

--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -288,7 +288,7 @@
                     self.member.detached(copy);
                 }
             }
-            Heard::Up(slot, up) => self.member.connected(now, slot, up),
+            Heard::Up(slot, up) => self.member.connected(slot, up),
             Heard::Unreadable(why) => self.log("unreadable", why),
         }
     }
--- a/crates/hillstall/src/fleet.rs
+++ b/crates/hillstall/src/fleet.rs
@@ -144,6 +144,8 @@
         served: (now.answered - before.answered) as u32,
         silent: (now.silent - before.silent) as u32,
         busy,
+        // The fleet's part knows what it has ordered here.
+        part: 0,
     }
 }
 
--- a/crates/hillstall/tests/fleet/talking.rs
+++ b/crates/hillstall/tests/fleet/talking.rs
@@ -71,7 +71,7 @@
         came.replace((None, Vec::new()));
         let whole: Script = Box::new(move |fleet| {
             Box::pin(async move {
-                let told = script(fleet.clone()).await;
+                let told = script(fleet.clone()).await.map_err(|why| story(&fleet, why));
                 came.replace((Some(told), fleet.acts()));
             })
         });
@@ -86,6 +86,19 @@
     }
 }
 
+/// What the copies wrote of their part in the fleet, behind a failure.
+fn story(fleet: &Fleet, why: String) -> String {
+    let mut text = why;
+    for process in &fleet.processes {
+        let log = std::fs::read_to_string(process.log()).unwrap_or_default();
+        let lines: Vec<&str> =
+            log.lines().filter(|l| l.contains("fleet") || l.contains("panicked")).collect();
+        let from = lines.len().saturating_sub(12);
+        lines[from..].iter().for_each(|line| text += &format!("\n  {}: {line}", process.name));
+    }
+    text
+}
+
 /// Fails a script with words.
 pub fn sure(so: bool, why: impl FnOnce() -> String) -> Told {
     if so {
--- a/crates/maintenance/src/steps.rs
+++ b/crates/maintenance/src/steps.rs
@@ -9,8 +9,12 @@
 /// What the copies report of one site, added up, over the last seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
-    /// Calls sent there, a second.
+    /// Calls sent there, a second, over the last second.
     pub sent: f64,
+    /// The same over a few seconds: what a step is measured against must not be a moment's chance.
+    pub usual: f64,
+    /// Three in four copies give it no more than this part of its usual load.
+    pub part: f64,
     /// The part of those that ended which were served.
     pub served: f64,
     /// The most that it has served in a second lately, calls that were served alone.
@@ -80,10 +84,11 @@
     }
     // Where servers tell how busy they are, what they bear is known; else each step is judged by the last.
     let bear = others.iter().map(|(_, l)| room(l, plan.reserve)).sum::<Option<f64>>()?;
-    (own.sent > bear).then(|| {
+    let usual = own.usual.max(own.sent);
+    (usual > bear).then(|| {
         format!(
             "the others can take {bear:.0} calls a second above their reserve, {} has {:.0}",
-            plan.site, own.sent
+            plan.site, usual
         )
     })
 }
@@ -120,7 +125,7 @@
             Stage::Planned if late => Some(postpone(number, "it could not begin in time")),
             Stage::Planned => match not_admitted(plan, figures, pace) {
                 None => {
-                    let usual = figures.sites.get(&plan.site).map_or(0.0, |l| l.sent * 1_000.0) as u64;
+                    let usual = figures.sites.get(&plan.site).map_or(0.0, |l| l.usual * 1_000.0) as u64;
                     Some(Command::Admit { window: number, usual })
                 }
                 Some(why) if now >= plan.begin => Some(postpone(number, &why)),
@@ -165,18 +170,14 @@
         }
     }
 
-    /// Whether the last step is seen in what the site is sent, and the others bear it.
+    /// Whether the last step is carried out by the copies, and the others bear it. What the site is still sent says little
+    /// while it is being emptied: it moves with every front that is lost or comes back. It has to be next to nothing at the end.
     fn took(&self, window: &Window, figures: &Figures, pace: &Pace) -> bool {
         let part = f64::from(window.part) / f64::from(WHOLE);
-        let usual = window.usual as f64 / 1_000.0;
-        let own = figures.sites.get(&window.plan.site).map_or(0.0, |load| load.sent);
-        // Traffic is not even: a step counts as taken when the site is within half a step of it.
-        let slack = f64::from(pace.step) / f64::from(WHOLE) / 2.0;
+        let given = figures.sites.get(&window.plan.site).map_or(1.0, |load| load.part);
         let bears = |load: &Load| load.sent == 0.0 || load.served >= pace.served;
-        let others = figures.sites.iter().filter(|(site, _)| **site != window.plan.site);
-        figures.heard >= pace.heard
-            && own <= usual * (part + slack) + 1.0
-            && others.map(|(_, load)| load).all(bears)
+        let mut others = figures.sites.iter().filter(|(site, _)| **site != window.plan.site);
+        figures.heard >= pace.heard && given <= part + 0.001 && others.all(|(_, load)| bears(load))
     }
 
     fn step(&self, number: Number, window: &Window, figures: &Figures, pace: &Pace) -> Option<Command> {
--- a/crates/quorum/src/member.rs
+++ b/crates/quorum/src/member.rs
@@ -270,13 +270,14 @@
     }
 
     /// The connection to a keeper is up, or is gone.
-    pub fn connected(&mut self, now: Millis, keeper: usize, up: bool) {
+    pub fn connected(&mut self, keeper: usize, up: bool) {
         if self.keeper.is_some() || keeper != self.following {
             return;
         }
         self.connected = up;
+        // That somebody takes the connection says nothing of the keeper: what stands before a dead one does it as well, and
+        // only a word ends the silence.
         if up {
-            self.heard_at = now;
             self.read_at = None;
         }
     }
@@ -380,6 +381,9 @@
     /// What this copy has counted itself.
     pub fn report(&mut self, now: Millis, mut report: Report) {
         report.copy = Some(self.setup.copy);
+        for (site, counts) in &mut report.sites {
+            counts.part = (self.duties.part(site, now) * 1_000.0).round() as u16;
+        }
         if self.keeper.is_some() {
             self.reports.take(now, report);
         } else if self.connected {
--- a/crates/quorum/src/reports.rs
+++ b/crates/quorum/src/reports.rs
@@ -5,12 +5,15 @@
 use hillstall_lease::{Copy, Millis};
 use hillstall_maintenance::steps::{Figures, Load};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// A report older than this says nothing of now.
 const YOUNG: Millis = 3_000;
 /// Copies that were not heard of for so long are not counted as missing any more.
 const KNOWN_FOR: Millis = 60_000;
+/// Between two samples of a site's load, and how many are kept.
+const SAMPLE_EACH: Millis = 500;
+const SAMPLES: usize = 10;
 /// Calls that must have ended at a site, over all copies, for a part of them to say anything.
 const CALLS_LEAST: u64 = 5;
 /// Calls that must have come, over all copies, for a part of them to say anything.
@@ -27,6 +30,8 @@
     pub silent: u32,
     /// The part of its servers' capacity in use, in hundredths; over 100 if they don't tell.
     pub busy: u8,
+    /// The part of its usual load that this copy gives it, in thousandths.
+    pub part: u16,
 }
 
 /// What a copy has counted over some time.
@@ -53,6 +58,9 @@
     heard: BTreeMap<u32, (Report, Millis)>,
     /// The most that each site served in a second.
     proven: BTreeMap<String, f64>,
+    /// What was sent to each site a second, newest last, sampled at the pace of the reports.
+    samples: BTreeMap<String, VecDeque<f64>>,
+    sampled_at: Millis,
 }
 
 impl Reports {
@@ -79,9 +87,11 @@
         let heard = young.len() as f64 / self.heard.len().max(1) as f64;
         let mut sites: BTreeMap<String, Load> = BTreeMap::new();
         let mut ended: BTreeMap<String, (f64, f64, f64, f64)> = BTreeMap::new();
+        let mut parts: BTreeMap<String, Vec<u16>> = BTreeMap::new();
         for report in young {
             let per_s = 1_000.0 / f64::from(report.over.max(1));
             for (site, counts) in &report.sites {
+                parts.entry(site.clone()).or_default().push(counts.part);
                 let load = sites.entry(site.clone()).or_default();
                 load.sent += f64::from(counts.sent) * per_s;
                 load.proven += f64::from(counts.served) * per_s;
@@ -94,7 +104,29 @@
                 }
             }
         }
+        for (site, parts) in &mut parts {
+            parts.sort_unstable();
+            let three_in_four = (parts.len() * 3).div_ceil(4).max(1) - 1;
+            if let (Some(load), Some(part)) = (sites.get_mut(site), parts.get(three_in_four)) {
+                load.part = f64::from(*part) / 1_000.0;
+            }
+        }
+        let sampled = now.saturating_sub(self.sampled_at) >= SAMPLE_EACH;
+        if sampled {
+            self.sampled_at = now;
+        }
         for (site, load) in &mut sites {
+            let samples = self.samples.entry(site.clone()).or_default();
+            if sampled || samples.is_empty() {
+                samples.push_back(load.sent);
+                if samples.len() > SAMPLES {
+                    samples.pop_front();
+                }
+            }
+            let mean =
+                |last: usize| samples.iter().rev().take(last).sum::<f64>() / samples.len().min(last) as f64;
+            load.usual = mean(SAMPLES).max(mean(SAMPLES / 2));
+            load.sent = mean(2);
             let (served, all, busy, told) = ended[site];
             load.served = if all > 0.0 { served / all } else { 1.0 };
             load.busy = (told > 0.0).then(|| busy / told);
--- a/crates/quorum/tests/sim/mod.rs
+++ b/crates/quorum/tests/sim/mod.rs
@@ -334,6 +334,7 @@
                         served: sent as u32,
                         silent: 0,
                         busy: (sent * 0.5) as u8,
+                        part: 0,
                     };
                     let more = 100.0 + 50.0 * away;
                     let sites = [("north", 100.0 - 100.0 * away), ("south", more), ("west", more)];
@@ -357,9 +358,8 @@
                 if let Some(member) = &mut self.ones[keeper].member {
                     member.attached(local, copy);
                 }
-                let local = self.ones[i].clock.read(now);
                 if let Some(member) = &mut self.ones[i].member {
-                    member.connected(local, keeper, true);
+                    member.connected(keeper, true);
                 }
             }
             Happens::Frame(to, life, from, frame) => {
@@ -565,9 +565,8 @@
         let copies: Vec<usize> =
             (KEEPERS..self.copies).filter(|c| self.ones[*c].follows == Some(i)).collect();
         for copy in copies {
-            let local = self.ones[copy].clock.read(self.now);
             if let Some(member) = &mut self.ones[copy].member {
-                member.connected(local, i, false);
+                member.connected(i, false);
             }
             let life = self.ones[copy].life;
             self.at(self.now + 200, Happens::Connected(copy, life, i));
