--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -771,7 +771,8 @@
         self.heat += (heat - self.heat) * part;
     }
 
-    /// The room of the backends that answer; one that does so if only to turn calls away is not lost, nor is one
+    /// The room of the backends that answer; one that does so if only to turn calls away is not lost, nor
+    /// is one
     /// that has answered since a call was sent that met silence: a connection was late there.
     fn look_at_room(&mut self) {
         let (now, rules) = (self.now, &self.settings.rules);
@@ -962,7 +963,8 @@
         let (sent_at, heat, rise) = (attempt.sent_at, self.heat * self.room.scale(), self.room.rise());
         let sample = |stress, spare| Sample { sent_at, stress, spare, heat, rise };
         if outcome == Outcome::Cancelled || outcome == Outcome::Moot {
-            // A client that left: late for it by as much of its time as it waited. One that leaves early has left for
+            // A client that left: late for it by as much of its time as it waited. One that leaves early
+            // has left for
             // reasons of its own. More would shut the gate where an idle tier is too slow.
             if held.over && self.settings.stage == 0 {
                 let patience = aim.min(held.give_up_at - attempt.sent_at).max(1.0);
@@ -1063,7 +1065,8 @@
 
     // ---- the pick ----
 
-    /// Draws a backend as usual, and another where the drawn one's zone is to get less and a whole zone is left.
+    /// Draws a backend as usual, and another where the drawn one's zone is to get less and a whole zone is
+    /// left.
     fn pick(&mut self, held: &Held) -> Option<usize> {
         let picked = self.pick_from(held, false)?;
         let zone = self.backends[picked].info.zone;
