--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -385,7 +385,10 @@
             (None, None) => None,
         };
         open.course.last_outcome = Some(ended.outcome);
-        let zone = state.directory.place(backend).map(|place| usize::from(place.zone));
+        // Where nobody counts, nothing is looked up.
+        let counted = !state.to_zones.is_empty();
+        let place = if counted { state.directory.place(backend) } else { None };
+        let zone = place.map(|place| usize::from(place.zone));
         if let Some(to) = zone.and_then(|zone| state.to_zones.get_mut(zone)) {
             match ended.outcome {
                 Outcome::Ok | Outcome::Error | Outcome::Full => to.answered += 1,
--- a/crates/hillstall/src/operator/file.rs
+++ b/crates/hillstall/src/operator/file.rs
@@ -1,15 +1,16 @@
 //! The operator file: TOML, read key by key, so that all that is wrong in it can be told at once.
 
 use super::{at, line_of, Origin, Wrong};
+use hillstall_fleet::settings::Settings as Section;
 use std::path::Path;
 use toml::de::{DeTable, DeValue};
 
 /// The largest file that is read; one of all keys has some KiB.
 const FILE_MOST: u64 = 1 << 20;
 
-/// Hands on every entry of a file; gives what is wrong with its text.
-pub fn entries(path: &Path, set: &mut impl FnMut(&str, &str, Origin)) -> Vec<Wrong> {
-    let unreadable = |why: String| vec![Wrong::Unreadable(path.display().to_string(), why)];
+/// Hands on every entry of a file; gives its section of the fleet, and what is wrong with its text.
+pub fn entries(path: &Path, set: &mut impl FnMut(&str, &str, Origin)) -> (Option<Section>, Vec<Wrong>) {
+    let unreadable = |why: String| (None, vec![Wrong::Unreadable(path.display().to_string(), why)]);
     match std::fs::metadata(path) {
         Ok(meta) if meta.len() > FILE_MOST => return unreadable("it is larger than 1 MiB".to_string()),
         Ok(_) => {}
@@ -30,24 +31,25 @@
     // What a broken line was taken for is not to be told as a second fault.
     if wrong.is_empty() {
         walk(path, &text, "", table.get_ref(), set, &mut wrong);
-        wrong.extend(fleet(path).err().unwrap_or_default());
+        match fleet(path, &text) {
+            Ok(section) => return (section, wrong),
+            Err(more) => wrong.extend(more),
+        }
     }
-    wrong
+    (None, wrong)
 }
 
 /// The section of the fleet, if the file has one.
-pub fn fleet(path: &Path) -> Result<Option<hillstall_fleet::settings::Settings>, Vec<Wrong>> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|e| vec![Wrong::Unreadable(path.display().to_string(), e.to_string())])?;
+fn fleet(path: &Path, text: &str) -> Result<Option<Section>, Vec<Wrong>> {
     let told = |wrong: Vec<hillstall_fleet::settings::Wrong>| {
         let told = wrong.into_iter().map(|w| Wrong::Value {
-            origin: at(path, line_of(&text, w.at)),
+            origin: at(path, line_of(text, w.at)),
             key: w.key,
             why: w.why,
         });
         told.collect::<Vec<_>>()
     };
-    let Some(read) = hillstall_fleet::settings::read(&text).map_err(told)? else { return Ok(None) };
+    let Some(read) = hillstall_fleet::settings::read(text).map_err(told)? else { return Ok(None) };
     // The sites are the platform's to tell, so they are checked where both are known.
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
     match read.contradictions(&[], now) {
--- a/crates/hillstall/src/operator/mod.rs
+++ b/crates/hillstall/src/operator/mod.rs
@@ -122,9 +122,9 @@
                 Err(why) => wrong.push(Wrong::Value { origin, key: name.to_string(), why }),
             },
         };
-        let mut unreadable = Vec::new();
+        let (mut fleet, mut unreadable) = (None, Vec::new());
         if let Some(path) = &sources.file {
-            unreadable = file::entries(path, &mut set);
+            (fleet, unreadable) = file::entries(path, &mut set);
         }
         for key in KEYS {
             let variable = key.variable();
@@ -143,7 +143,6 @@
             }
         }
         unreadable.append(&mut wrong);
-        let fleet = sources.file.as_ref().and_then(|path| file::fleet(path).ok().flatten());
         let operator = Operator { fleet, values };
         if unreadable.is_empty() {
             if let Some((name, why)) = keys::between(&operator) {
--- a/crates/quorum/src/keeper.rs
+++ b/crates/quorum/src/keeper.rs
@@ -204,10 +204,16 @@
         if change.is_empty() {
             return true;
         }
-        match self.disk.save(change.clone()) {
+        // The log itself is kept once, in memory, by the node.
+        let bare = Change {
+            boot: change.boot,
+            founders: change.founders.clone(),
+            takes_part: change.takes_part,
+            seen: change.seen.clone(),
+            ..Change::default()
+        };
+        match self.disk.save(change) {
             Ok(()) => {
-                // The log itself is kept once, in memory, by the node.
-                let bare = Change { snapshot: None, hard: None, entries: BTreeMap::new(), ..change };
                 bare.apply(&mut self.kept);
                 true
             }
--- a/crates/quorum/src/member.rs
+++ b/crates/quorum/src/member.rs
@@ -4,7 +4,7 @@
 use crate::disk::Disk;
 use crate::duties::{Duties, Owned};
 use crate::frame::{Frame, Piece};
-use crate::keeper::{Keeper, News, Word};
+use crate::keeper::{Keeper, News};
 use crate::reports::{Report, Reports};
 use crate::state::{Command, Id, Outcome, Proposal, State, COORDINATOR};
 use crate::stream::Streams;
@@ -549,13 +549,13 @@
     fn propose(&mut self, now: Millis, command: Command, why: Why, for_: Millis) {
         self.count += 1;
         let proposal = Proposal { id: Id { copy: self.setup.copy, number: self.count }, command };
-        self.send_proposal(now, &proposal);
+        self.send_proposal(&proposal);
         let until = now.saturating_add(for_);
         self.pending.insert(self.count, Pending { proposal, asked_at: now, sent_at: now, until, why });
         self.keeper_news(now);
     }
 
-    fn send_proposal(&mut self, _: Millis, proposal: &Proposal) {
+    fn send_proposal(&mut self, proposal: &Proposal) {
         match &mut self.keeper {
             Some(keeper) => keeper.propose(proposal),
             None if self.connected => {
@@ -580,7 +580,7 @@
         }
         let some = !again.is_empty();
         for proposal in again {
-            self.send_proposal(now, &proposal);
+            self.send_proposal(&proposal);
         }
         if some {
             self.keeper_news(now);
@@ -772,8 +772,3 @@
     });
     bad.map(|(number, i)| format!("incident {number} at {}: {}", i.scope, i.evidence))
 }
-
-/// For the shell: a word between keepers, as a frame.
-pub fn word(word: Word) -> Frame {
-    Frame::Word(word)
-}
