--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,3 +12,8 @@
 
 pub use hillstall_quorum::reports::{Counts, Report};
 pub use shell::{start, Handle, Hint, NotStarted, Place};
+
+/// A length of time in milliseconds.
+fn millis(time: std::time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/fleet/src/lines.rs
+++ b/crates/fleet/src/lines.rs
@@ -89,7 +89,7 @@
             (None, Some(usual)) => usual,
             (None, None) => return Err(bad(format!("{name}= is missing"))),
         };
-        Ok(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+        Ok(crate::millis(time))
     }
 
     /// Whatever was not asked for is a mistake, and must not be passed over.
--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -191,7 +191,7 @@
     let Ok(Some(Ok(bytes))) = first else { return };
     let (copy, keeper) = match Frame::decode(&bytes) {
         Ok(Frame::Hello { fleet, copy, keeper }) if fleet == own.fleet => (copy, keeper),
-        Ok(Frame::Hello { .. }) => return,
+        // Of another fleet, or no greeting.
         Ok(_) => return,
         Err(why) => {
             let _ = tell.send(Heard::Unreadable(why.to_string()));
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -1,6 +1,6 @@
 //! The section `[fleet]` of the operator file.
 
-use crate::calendar;
+use crate::{calendar, millis as ms};
 use hillstall_lease::terms::Terms;
 use hillstall_maintenance::calendar::Rule;
 use hillstall_maintenance::machine::Overrun;
@@ -108,10 +108,6 @@
     }
 }
 
-fn ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 struct Faults(Vec<Wrong>);
 
 impl Faults {
@@ -198,7 +194,7 @@
 fn settle(raw: Raw, faults: &mut Faults) -> Settings {
     let second = Duration::from_secs(1);
     if !hillstall_freeze::is_name(raw.name.get_ref()) {
-        faults.say(raw.name.span(), "name", "a name has 1 to 64 letters, digits, '-', '.', '_', '/' or '@'");
+        faults.say(raw.name.span(), "name", hillstall_freeze::NAME_RULE);
     }
     let keepers: Vec<SocketAddr> =
         raw.keepers.get_ref().iter().filter_map(|one| faults.address(one, "keepers")).collect();
@@ -236,7 +232,7 @@
         }
     }
     if let Some(site) = raw.site.as_ref().filter(|site| !hillstall_freeze::is_name(site.get_ref())) {
-        faults.say(site.span(), "site", "a name has 1 to 64 letters, digits, '-', '.', '_', '/' or '@'");
+        faults.say(site.span(), "site", hillstall_freeze::NAME_RULE);
     }
     let usual = Duration::from_secs(2);
     let term = raw.term.as_ref().map_or(usual, |term| term.get_ref().0);
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -3,6 +3,7 @@
 use crate::disk::{NoDisk, RedbDisk};
 use crate::lines::{self, Line, People};
 use crate::links::{accept, Dialed, Heard, Own};
+use crate::millis;
 use crate::settings::Settings;
 use bytes::Bytes;
 use hillstall_lease::Copy;
@@ -130,7 +131,7 @@
 struct Shell {
     settings: Settings,
     place: Place,
-    copy: Copy,
+    own: Own,
     zero: Instant,
     member: Member<RedbDisk>,
     tell: UnboundedSender<Heard>,
@@ -168,7 +169,6 @@
         }
         let zero = Instant::now();
         let setup = Setup {
-            fleet: settings.name.clone(),
             copy,
             keeper: own.keeper,
             keepers: settings.keepers.len(),
@@ -184,7 +184,7 @@
         let member = Member::start(setup, disk, 0);
         let mut shell = Shell {
             member,
-            copy,
+            own: own.clone(),
             zero,
             place,
             tell,
@@ -231,14 +231,9 @@
         millis(self.zero.elapsed())
     }
 
-    fn own(&self) -> Own {
-        let keeper = self.settings.keeper.map(|(slot, _)| slot);
-        Own { fleet: self.settings.name.clone(), copy: self.copy, keeper }
-    }
-
     fn dial(&mut self, slot: usize) {
         let address = self.settings.keepers[slot];
-        self.dialed.insert(slot, Dialed::open(slot, address, self.own(), self.tell.clone()));
+        self.dialed.insert(slot, Dialed::open(slot, address, self.own.clone(), self.tell.clone()));
     }
 
     fn tick(&mut self) {
@@ -316,7 +311,7 @@
     }
 
     fn write_down(&mut self, now: u64, signal: &str) {
-        let what = format!("{signal} at copy {}", self.copy.rank);
+        let what = format!("{signal} at copy {}", self.own.copy.rank);
         self.member.tell(now, Command::Freeze(hillstall_freeze::register::Command::Signal { what }));
     }
 
@@ -346,7 +341,7 @@
     fn fleet(&self, now: u64) -> String {
         let mut text = String::new();
         let mut say = |line: String| text.push_str(&(line + "\n"));
-        say(format!("copy {} life {:016x} site {}", self.copy.rank, self.copy.life, self.place.site));
+        say(format!("copy {} life {:016x} site {}", self.own.copy.rank, self.own.copy.life, self.place.site));
         match self.member.keeper() {
             Some(keeper) => {
                 let leads = if keeper.leads() { " leads" } else { "" };
@@ -417,7 +412,7 @@
 
     /// The record by which owners are judged afterwards.
     fn record(&mut self, did: &Did) {
-        let (copy, life, at) = (self.copy.rank, self.copy.life, unix());
+        let (copy, life, at) = (self.own.copy.rank, self.own.copy.life, unix());
         match did {
             Did::Holds(duty, token) => {
                 tracing::info!(copy, life, at, %duty, token = token.0, "fleet holds");
@@ -517,10 +512,6 @@
     }
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn unix() -> u64 {
     millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
 }
--- a/crates/freeze/src/lib.rs
+++ b/crates/freeze/src/lib.rs
@@ -18,6 +18,9 @@
 /// Most bytes of a name that comes from outside.
 pub const NAME_MOST: usize = 64;
 
+/// What a name has to be, for people.
+pub const NAME_RULE: &str = "a name has 1 to 64 letters, digits, '-', '.', '_', '/' or '@'";
+
 /// Whether a name may stand in the state: it is bounded and prints on one line.
 pub fn is_name(name: &str) -> bool {
     let fits = |c: char| c.is_alphanumeric() || "-._/@".contains(c);
--- a/crates/freeze/src/register.rs
+++ b/crates/freeze/src/register.rs
@@ -232,7 +232,7 @@
     #[error("the same person has asked already; an emergency takes two")]
     SamePerson,
     /// A text is empty, too long or holds what can't be printed.
-    #[error("a name has 1 to 64 letters, digits, '-', '.', '_', '/' or '@'")]
+    #[error("{}", crate::NAME_RULE)]
     Name,
     /// It would run for too long or not at all.
     #[error("a change runs for 1 ms to a day")]
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -4,7 +4,7 @@
 //! Four parts, each where its promise is kept:
 //!
 //! - [`book`]: who holds which duty, as the keepers agree on it. It knows no clock: what lapses is proposed to it.
-//! - [`watch`]: when a keeper that leads proposes so, by its own monotonic clock.
+//! - [`watch`]: when a keeper that leads proposes so; all keepers wait by their own monotonic clocks, with [`timers`].
 //! - [`hold`]: what a copy knows of a duty that it holds or stands for; it gives up before it could be given away.
 //! - [`gate`]: what carries out orders. It refuses those of an older owner, whatever that owner believes.
 //!
@@ -16,6 +16,7 @@
 pub mod gate;
 pub mod hold;
 pub mod terms;
+pub mod timers;
 pub mod watch;
 
 use serde::{Deserialize, Serialize};
--- a/crates/maintenance/src/steps.rs
+++ b/crates/maintenance/src/steps.rs
@@ -17,8 +17,6 @@
     pub part: f64,
     /// The part of those that ended which were served.
     pub served: f64,
-    /// The most that it has served in a second lately, calls that were served alone.
-    pub proven: f64,
     /// The part of its servers' capacity in use, where they tell.
     pub busy: Option<f64>,
 }
--- a/crates/maintenance/tests/windows.rs
+++ b/crates/maintenance/tests/windows.rs
@@ -78,14 +78,7 @@
 }
 
 fn figures(sites: &[(&str, f64, f64)]) -> Figures {
-    let load = |sent, busy| Load {
-        sent,
-        usual: sent,
-        part: sent / 100.0,
-        served: 1.0,
-        proven: sent,
-        busy: Some(busy),
-    };
+    let load = |sent, busy| Load { sent, usual: sent, part: sent / 100.0, served: 1.0, busy: Some(busy) };
     let sites = sites.iter().map(|(name, sent, busy)| (name.to_string(), load(*sent, *busy)));
     Figures { sites: sites.collect(), heard: 1.0, trouble: None }
 }
--- a/crates/quorum/src/duties.rs
+++ b/crates/quorum/src/duties.rs
@@ -154,8 +154,7 @@
 
     /// The duties that may be acted by now.
     pub fn held(&self, now: Millis) -> Vec<(Duty, Token)> {
-        let held = self.mine.iter().filter_map(|(duty, mine)| Some((duty.clone(), mine.hold.token(now)?)));
-        held.collect()
+        self.owned(now).into_iter().map(|owned| (owned.duty, owned.token)).collect()
     }
 
     /// The same, with what they are about.
--- a/crates/quorum/src/keeper.rs
+++ b/crates/quorum/src/keeper.rs
@@ -727,11 +727,6 @@
     pub fn halted(&self) -> Option<&str> {
         self.halted.as_deref()
     }
-
-    /// Its disk.
-    pub fn disk(&mut self) -> &mut D {
-        &mut self.disk
-    }
 }
 
 /// The state that a fleet begins with.
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -16,4 +16,3 @@
 pub mod reports;
 pub mod state;
 mod stream;
-mod timers;
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -98,16 +98,6 @@
         self.entries.last().map_or(self.snapshot.get_metadata().index, |entry| entry.index)
     }
 
-    /// How many entries are kept.
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    /// Whether no entry is kept.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
-
     /// The snapshot's index and what it holds.
     pub fn state(&self) -> (u64, &[u8]) {
         (self.snapshot.get_metadata().index, &self.snapshot.data)
--- a/crates/quorum/src/member.rs
+++ b/crates/quorum/src/member.rs
@@ -8,13 +8,13 @@
 use crate::reports::{Report, Reports};
 use crate::state::{Command, Id, Outcome, Proposal, State, COORDINATOR};
 use crate::stream::Streams;
-use crate::timers::Timers;
 use hillstall_freeze::detect::{Detector, Fact, Limits, Sign};
 use hillstall_freeze::register::{Register, Stand, Wait};
 use hillstall_freeze::scope::Scope;
 use hillstall_lease::book;
 use hillstall_lease::gate::Order;
 use hillstall_lease::terms::Terms;
+use hillstall_lease::timers::Timers;
 use hillstall_lease::watch::Watch;
 use hillstall_lease::{Copy, Duty, Millis, Token};
 use hillstall_maintenance::machine::Command as Window;
@@ -44,8 +44,6 @@
 /// How a copy takes part.
 #[derive(Clone, Debug)]
 pub struct Setup {
-    /// Which fleet.
-    pub fleet: String,
     /// Who it is.
     pub copy: Copy,
     /// Its slot, if it is a keeper.
@@ -191,7 +189,7 @@
             reads: BTreeMap::new(),
             opens_at: None,
             read_at: None,
-            timers: Timers::new(),
+            timers: Timers::default(),
             reports: Reports::default(),
             steps: BTreeMap::new(),
             clocks: BTreeMap::new(),
@@ -213,7 +211,7 @@
 
     /// The state as this copy knows it.
     pub fn state(&self) -> &State {
-        self.keeper.as_ref().map_or(&self.replica, |keeper| keeper.state())
+        known(&self.keeper, &self.replica)
     }
 
     /// How old that may be, in milliseconds; `None` if nothing was heard yet. A keeper's is as old as its last word with
@@ -230,11 +228,6 @@
         self.keeper.as_ref()
     }
 
-    /// Its disk too.
-    pub fn keeper_mut(&mut self) -> Option<&mut Keeper<D>> {
-        self.keeper.as_mut()
-    }
-
     /// The duties that this copy may act by now.
     pub fn holds(&self, now: Millis) -> Vec<(Duty, Token)> {
         self.duties.held(now)
@@ -505,7 +498,7 @@
     }
 
     fn state_changed(&mut self, now: Millis) {
-        let state = self.keeper.as_ref().map_or(&self.replica, |keeper| keeper.state());
+        let state = known(&self.keeper, &self.replica);
         self.duties.heard(now, state.book());
         if self.opens_at.is_some_and(|index| state.index() >= index || self.keeper.is_some()) {
             self.opens_at = None;
@@ -707,7 +700,7 @@
             let level = if margin { 1.0 } else { 0.0 };
             facts.push(Fact { scope: Scope::Keepers, sign: Sign::Margin, level });
         }
-        let register = self.keeper.as_ref().map_or(&self.replica, |keeper| keeper.state()).register();
+        let register = known(&self.keeper, &self.replica).register();
         let commands = self.detector.look(now, &facts, register, token.0);
         for command in commands.into_iter().map(Command::Freeze) {
             if !self.pending.values().any(|p| p.proposal.command == command) {
@@ -726,7 +719,7 @@
         site: &str,
         figures: &mut Figures,
     ) -> Vec<Order<Part>> {
-        let state = self.keeper.as_ref().map_or(&self.replica, |keeper| keeper.state());
+        let state = known(&self.keeper, &self.replica);
         let windows = state.windows().all().iter().filter(|(_, w)| w.plan.site == site && !w.stage.is_over());
         // One that has begun goes first, then the earliest.
         let Some((number, window)) = windows.min_by_key(|(_, w)| (!w.stage.is_away(), w.plan.begin)) else {
@@ -751,6 +744,11 @@
     }
 }
 
+/// The state as a copy knows it, beside whatever else of it is in use.
+fn known<'a, D: Disk>(keeper: &'a Option<Keeper<D>>, replica: &'a State) -> &'a State {
+    keeper.as_ref().map_or(replica, |keeper| keeper.state())
+}
+
 fn is_shift(command: &Command, by: Token) -> bool {
     matches!(command, Command::Window { token, command } if *token == Some(by) && !matches!(command, Window::Plan(_)))
 }
--- a/crates/quorum/src/reports.rs
+++ b/crates/quorum/src/reports.rs
@@ -56,8 +56,6 @@
 pub struct Reports {
     /// By rank: two processes of one name are one copy here.
     heard: BTreeMap<u32, (Report, Millis)>,
-    /// The most that each site served in a second.
-    proven: BTreeMap<String, f64>,
     /// What was sent to each site a second, newest last, sampled at the pace of the reports.
     samples: BTreeMap<String, VecDeque<f64>>,
     sampled_at: Millis,
@@ -94,7 +92,6 @@
                 parts.entry(site.clone()).or_default().push(counts.part);
                 let load = sites.entry(site.clone()).or_default();
                 load.sent += f64::from(counts.sent) * per_s;
-                load.proven += f64::from(counts.served) * per_s;
                 let (served, all, busy, told) = ended.entry(site.clone()).or_default();
                 *served += f64::from(counts.served);
                 *all += f64::from(counts.served + counts.silent);
@@ -130,9 +127,6 @@
             let (served, all, busy, told) = ended[site];
             load.served = if all > 0.0 { served / all } else { 1.0 };
             load.busy = (told > 0.0).then(|| busy / told);
-            let most = self.proven.entry(site.clone()).or_default();
-            *most = most.max(load.proven);
-            load.proven = *most;
         }
         Figures { sites, heard, trouble: None }
     }
--- a/crates/quorum/src/stream.rs
+++ b/crates/quorum/src/stream.rs
@@ -56,8 +56,8 @@
         self.followers.contains_key(&copy)
     }
 
-    /// An entry was applied here, with the duty as it was right after if it was about one. Signs of life are passed over: with a few copies that stand for a
-    /// few duties there are some twenty a second, and no follower needs them.
+    /// An entry was applied here, with the duty as it was right after if it was about one. Signs of life are passed over:
+    /// with a few copies that stand for a few duties there are some twenty a second, and no follower needs them.
     pub fn applied(&mut self, index: u64, proposal: &Proposal, entry: Option<Entry>) {
         let piece = match &proposal.command {
             Command::Lease(command) => {
@@ -67,7 +67,7 @@
                     return;
                 }
                 self.duties.insert(duty.clone(), entry.clone());
-                Piece::Duty(duty.clone(), entry.clone())
+                Piece::Duty(duty.clone(), entry)
             }
             _ => Piece::Command(proposal.clone()),
         };
--- a/crates/quorum/tests/sim/mod.rs
+++ b/crates/quorum/tests/sim/mod.rs
@@ -281,7 +281,6 @@
             random: seed >> 8,
         });
         let setup = Setup {
-            fleet: "sim".into(),
             copy: Copy { rank: i as u32, life: one.life },
             keeper: slot,
             keepers: KEEPERS,
