Fleet drills share their steps: kill, says, opened, knows; a drill's error tells itself in words

Found on reading the change once more: the drills wrote out the same waits and questions up to four times, wrapped each error by hand, and kept a second address beside the port that has it. All assertions stand as they were.

--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -54,6 +54,13 @@
     },
 }
 
+/// For scripts, which tell in words what went wrong.
+impl From<NoDrill> for String {
+    fn from(why: NoDrill) -> String {
+        why.to_string()
+    }
+}
+
 /// Words for an error of the system's.
 pub(crate) fn system(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> NoDrill {
     let what = what.into();
@@ -115,8 +122,6 @@
     pub zone: usize,
     /// What it is told.
     pub settings: Settings,
-    /// Its second address.
-    pub admin: SocketAddr,
     port: Port,
     /// Kept for its second address, and for its own copies' links where it is a keeper.
     admin_port: Port,
@@ -134,6 +139,11 @@
         self.port.address()
     }
 
+    /// Its second address.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin_port.address()
+    }
+
     /// Where its files are.
     pub fn folder(&self) -> &Path {
         &self.folder
@@ -306,7 +316,6 @@
                     rank: s.rank,
                     zone: s.zone,
                     settings,
-                    admin: s.admin_port.address(),
                     port: s.port,
                     admin_port: s.admin_port,
                     talk_port: s.talk_port,
@@ -435,7 +444,7 @@
                 ("NODE_NAME".into(), process.name.clone()),
                 ("NODE_LISTEN".into(), process.address().to_string()),
                 ("NODE_DISCOVERY".into(), list.to_string()),
-                ("NODE_ADMIN_ADDR".into(), process.admin_port.address().to_string()),
+                ("NODE_ADMIN_ADDR".into(), process.admin().to_string()),
                 ("NODE_CONFIG".into(), text(&config)),
                 ("TMPDIR".into(), text(&process.folder.join("tmp"))),
             ],
--- a/crates/drill/src/talk.rs
+++ b/crates/drill/src/talk.rs
@@ -76,7 +76,7 @@
 
     async fn line_within(&self, process: usize, line: &str, within: Duration) -> Option<String> {
         let asked = async {
-            let mut stream = TcpStream::connect(self.processes[process].admin).await?;
+            let mut stream = TcpStream::connect(self.processes[process].admin()).await?;
             stream.write_all(format!("{line}\n").as_bytes()).await?;
             let mut text = String::new();
             stream.read_to_string(&mut text).await?;
--- a/crates/hillstall/tests/fleet/figures.rs
+++ b/crates/hillstall/tests/fleet/figures.rs
@@ -34,19 +34,16 @@
                     settled(&fleet).await?;
                     let (first, _) = fleet.new_owner(COORDINATOR, &[], SOON).await?;
                     let at = Instant::now();
-                    let sure = |done: Result<(), hillstall_drill::fleet::NoDrill>| {
-                        done.map_err(|why| why.to_string())
-                    };
                     match how {
-                        "kill" => sure(fleet.signal(first, Sign::Kill))?,
-                        "stop" => sure(fleet.signal(first, Sign::Stop))?,
+                        "kill" => fleet.signal(first, Sign::Kill)?,
+                        "stop" => fleet.signal(first, Sign::Stop)?,
                         _ => cut(&fleet, Fault::LoseForth, from_process(first))?,
                     }
                     fleet.new_owner(COORDINATOR, &[first], SOON).await?;
                     seen.borrow_mut().push((how, since(at)));
                     match how {
-                        "kill" => sure(fleet.start_process(first).await)?,
-                        "stop" => sure(fleet.signal(first, Sign::Go))?,
+                        "kill" => fleet.start_process(first).await?,
+                        "stop" => fleet.signal(first, Sign::Go)?,
                         _ => fleet.set(Fault::None, from_process(first)),
                     }
                 }
--- a/crates/hillstall/tests/fleet/freeze.rs
+++ b/crates/hillstall/tests/fleet/freeze.rs
@@ -1,7 +1,7 @@
 //! Incidents, permits, and their coordinator, while parts of the fleet fail.
 
-use crate::talking::{cut, settled, sure, talk, COORDINATOR, SOON};
-use hillstall_drill::fleet::{Ends, Fleet};
+use crate::talking::{cut, says, settled, sure, talk, COORDINATOR, SOON};
+use hillstall_drill::fleet::Ends;
 use hillstall_drill::keeper::Sign;
 use hillstall_drill::link::Fault;
 use hillstall_drill::talk::from_process;
@@ -11,12 +11,6 @@
 /// Two people, one of whom has two names.
 const PEOPLE: &str = "people = [[\"mira\", \"m.k\"], [\"tom\"], [\"ann\"]]\n";
 
-async fn says(fleet: &Fleet, process: usize, line: &str, begins: &str) -> Result<String, String> {
-    let text = fleet.line(process, line).await.unwrap_or_default();
-    sure(text.starts_with(begins), || format!("{line}: {text:?} where {begins:?} was wanted"))?;
-    Ok(text)
-}
-
 /// The number in an answer.
 fn number(text: &str) -> String {
     text.split_whitespace().nth(1).unwrap_or("?").to_owned()
@@ -116,14 +110,14 @@
         fleet.until(9, "INCIDENT", SOON, seen).await?;
         fleet.until(9, "CHANGE", SOON, |text| text.contains("upgrade site:zone-1 reacts")).await?;
         // The one who opened it dies; the incident is not its own to take along.
-        fleet.signal(first, Sign::Kill).map_err(|why| why.to_string())?;
+        fleet.signal(first, Sign::Kill)?;
         fleet.new_owner(COORDINATOR, &[first], SOON).await?;
         fleet.until(9, "INCIDENT", SOON, seen).await?;
         let barred =
             fleet.line((first + 1) % 3, "CHANGE ASK drain site:zone-1 mira").await.unwrap_or_default();
         sure(barred.starts_with("409") || barred.starts_with("202"), || barred.clone())?;
         fleet.set(Fault::None, lost);
-        fleet.start_process(first).await.map_err(|why| why.to_string())
+        Ok(fleet.start_process(first).await?)
     });
 }
 
@@ -146,12 +140,12 @@
         settled(&fleet).await?;
         let (first, token) = fleet.new_owner(COORDINATOR, &[], SOON).await?;
         // It stands still, with all that it believes; another is elected, and it goes on.
-        fleet.signal(first, Sign::Stop).map_err(|why| why.to_string())?;
+        fleet.signal(first, Sign::Stop)?;
         let (second, newer) = fleet.new_owner(COORDINATOR, &[first], SOON).await?;
         sure(newer > token, || format!("{newer} after {token}"))?;
         says(&fleet, second, "INCIDENT OPEN major site:zone-2 ann", "200").await?;
         cut(&fleet, Fault::LoseBack, from_process(first))?;
-        fleet.signal(first, Sign::Go).map_err(|why| why.to_string())?;
+        fleet.signal(first, Sign::Go)?;
         let barred =
             fleet.line((first + 1) % 3, "CHANGE ASK drain site:zone-2 mira").await.unwrap_or_default();
         sure(barred.starts_with("409"), || barred.clone())?;
--- a/crates/hillstall/tests/fleet/owners.rs
+++ b/crates/hillstall/tests/fleet/owners.rs
@@ -1,16 +1,22 @@
 //! One owner at a time, and no harm by an old one.
 
-use crate::talking::{cut, settled, since, sure, talk, Told, COORDINATOR, SOON};
+use crate::talking::{cut, kill, says, settled, since, sure, talk, Told, COORDINATOR, SOON};
 use hillstall_drill::fleet::{Ends, Fleet};
 use hillstall_drill::keeper::Sign;
 use hillstall_drill::link::Fault;
 use hillstall_drill::talk::{from_process, to_keeper};
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-fn did(what: Result<(), hillstall_drill::fleet::NoDrill>) -> Told {
-    what.map_err(|why| why.to_string())
+/// Has a person open an incident, which no copy may forget.
+async fn opened(fleet: &Fleet) -> Told {
+    says(fleet, 5, "INCIDENT OPEN minor tenant:acme ann seen by hand", "200 ").await.map(|_| ())
+}
+
+/// Waits until a copy knows it.
+async fn knows(fleet: &Fleet, process: usize) -> Told {
+    let known = |text: &str| text.contains("minor tenant:acme active");
+    fleet.until(process, "INCIDENT", SOON, known).await.map(|_| ())
 }
 
 async fn goes_over(fleet: &Fleet, was: (usize, u64)) -> Result<(usize, u64), String> {
@@ -31,9 +37,9 @@
 fn an_owner_that_is_killed_is_followed_by_another_with_a_higher_token() {
     talk("drill-duties", 3, "", |fleet| async move {
         let first = owner(&fleet).await?;
-        did(fleet.signal(first.0, Sign::Kill))?;
+        fleet.signal(first.0, Sign::Kill)?;
         let second = goes_over(&fleet, first).await?;
-        did(fleet.start_process(first.0).await)?;
+        fleet.start_process(first.0).await?;
         // It is back and well, and the duty does not move again.
         fleet.until(first.0, "FLEET", SOON, |text| text.contains("gates open")).await?;
         sleep(Duration::from_secs(1)).await;
@@ -46,10 +52,10 @@
 fn an_owner_that_stood_still_knows_that_it_is_none_any_more() {
     talk("drill-duties", 3, "", |fleet| async move {
         let first = owner(&fleet).await?;
-        did(fleet.signal(first.0, Sign::Stop))?;
+        fleet.signal(first.0, Sign::Stop)?;
         let second = goes_over(&fleet, first).await?;
         sleep(Duration::from_secs(2)).await;
-        did(fleet.signal(first.0, Sign::Go))?;
+        fleet.signal(first.0, Sign::Go)?;
         let text =
             fleet.until(first.0, "FLEET", SOON, |text| text.contains(&format!("token {}", second.1))).await?;
         sure(!text.contains("holds freeze/coordinator"), || text.clone())?;
@@ -98,7 +104,7 @@
 fn a_copy_that_ends_in_order_hands_its_duties_over_without_a_gap() {
     let told = talk("drill-duties", 3, "", |fleet| async move {
         let first = owner(&fleet).await?;
-        did(fleet.signal(first.0, Sign::Term))?;
+        fleet.signal(first.0, Sign::Term)?;
         let second = fleet.new_owner(COORDINATOR, &[first.0], SOON).await?;
         sure(second.1 > first.1, || "the token did not rise".into())?;
         // Logs are written beside the loop, a little later.
@@ -129,20 +135,18 @@
 fn what_was_acknowledged_outlives_the_end_of_all_keepers_at_once() {
     talk("drill-duties", 3, "", |fleet| async move {
         let first = owner(&fleet).await?;
-        let opened =
-            fleet.line(5, "INCIDENT OPEN minor tenant:acme ann seen by hand").await.unwrap_or_default();
-        sure(opened.starts_with("200 "), || opened.clone())?;
+        opened(&fleet).await?;
         for keeper in 0..3 {
-            did(fleet.signal(keeper, Sign::Kill))?;
+            fleet.signal(keeper, Sign::Kill)?;
         }
         let nothing = fleet.line(5, "CHANGE ASK drain tenant:acme tom").await.unwrap_or_default();
         sure(nothing.starts_with("504"), || format!("a permit without keepers: {nothing}"))?;
         for keeper in 0..3 {
-            did(fleet.start_process(keeper).await)?;
+            fleet.start_process(keeper).await?;
         }
         let second = fleet.new_owner(COORDINATOR, &[], SOON).await?;
         sure(second.1 > first.1, || "tokens fell over the loss of all keepers".into())?;
-        fleet.until(5, "INCIDENT", SOON, |text| text.contains("minor tenant:acme active")).await.map(|_| ())
+        knows(&fleet, 5).await
     });
 }
 
@@ -156,12 +160,9 @@
             let line = text.lines().find_map(|line| line.strip_prefix("keeper "));
             line.and_then(|line| line.split(' ').next()).unwrap_or("?").to_owned()
         };
-        did(fleet.signal(lost, Sign::Kill))?;
-        while fleet.processes[lost].runs.get() {
-            sleep(Duration::from_millis(10)).await;
-        }
-        did(fleet.take_disk(lost).map(|_| ()))?;
-        did(fleet.start_process(lost).await)?;
+        kill(&fleet, lost).await?;
+        fleet.take_disk(lost)?;
+        fleet.start_process(lost).await?;
         let new = fleet.until(lost, "FLEET", SOON, |text| {
             let own = id(text);
             own != "?"
@@ -180,20 +181,15 @@
 fn keepers_are_replaced_until_none_of_the_first_is_left() {
     talk("drill-window", 3, "", |fleet| async move {
         settled(&fleet).await?;
-        let opened =
-            fleet.line(5, "INCIDENT OPEN minor tenant:acme ann seen by hand").await.unwrap_or_default();
-        sure(opened.starts_with("200 "), || opened.clone())?;
+        opened(&fleet).await?;
         let mut token = 0;
         for keeper in 0..3 {
             let now = fleet.new_owner(COORDINATOR, &[], SOON).await?;
             sure(now.1 >= token, || format!("tokens fell from {token} to {}", now.1))?;
             token = now.1;
-            did(fleet.signal(keeper, Sign::Kill))?;
-            while fleet.processes[keeper].runs.get() {
-                sleep(Duration::from_millis(10)).await;
-            }
-            did(fleet.take_disk(keeper).map(|_| ()))?;
-            did(fleet.start_process(keeper).await)?;
+            kill(&fleet, keeper).await?;
+            fleet.take_disk(keeper)?;
+            fleet.start_process(keeper).await?;
             let voter = |text: &str| {
                 let line = text.lines().find_map(|line| line.strip_prefix("keeper ")).unwrap_or("");
                 let own = line.split(' ').next().unwrap_or("?");
@@ -201,7 +197,7 @@
             };
             fleet.until(keeper, "FLEET", SOON, voter).await?;
         }
-        fleet.until(6, "INCIDENT", SOON, |text| text.contains("minor tenant:acme active")).await.map(|_| ())
+        knows(&fleet, 6).await
     });
 }
 
@@ -210,33 +206,21 @@
     talk("drill-duties", 3, "", |fleet| async move {
         let first = owner(&fleet).await?;
         let back = (first.0 + 1) % 3;
-        let kill = |fleet: Rc<Fleet>| async move {
-            did(fleet.signal(back, Sign::Kill))?;
-            while fleet.processes[back].runs.get() {
-                sleep(Duration::from_millis(10)).await;
-            }
-            Ok::<_, String>(())
-        };
-        kill(fleet.clone()).await?;
-        let old = fleet.read_disk(back).map_err(|why| why.to_string())?;
-        did(fleet.start_process(back).await)?;
+        kill(&fleet, back).await?;
+        let old = fleet.read_disk(back)?;
+        fleet.start_process(back).await?;
         settled(&fleet).await?;
-        let opened =
-            fleet.line(5, "INCIDENT OPEN minor tenant:acme ann seen by hand").await.unwrap_or_default();
-        sure(opened.starts_with("200 "), || opened.clone())?;
-        kill(fleet.clone()).await?;
-        did(fleet.put_disk(back, &old))?;
-        did(fleet.start_process(back).await)?;
+        opened(&fleet).await?;
+        kill(&fleet, back).await?;
+        fleet.put_disk(back, &old)?;
+        fleet.start_process(back).await?;
         let log = fleet.processes[back].log();
         let end = Instant::now() + SOON;
         while !std::fs::read_to_string(&log).unwrap_or_default().contains("older than its word") {
             sure(Instant::now() < end, || "it does not see that its disk is old".into())?;
             sleep(Duration::from_millis(50)).await;
         }
-        fleet
-            .until(back, "INCIDENT", SOON, |text| text.contains("minor tenant:acme active"))
-            .await
-            .map(|_| ())
+        knows(&fleet, back).await
     });
 }
 
@@ -253,9 +237,7 @@
         cut(&fleet, Fault::Silent, link)?;
         let other = |text: &str| follows(text).is_some_and(|now| now != keeper) && text.contains("connected");
         fleet.until(6, "FLEET", SOON, other).await?;
-        let opened =
-            fleet.line(5, "INCIDENT OPEN minor tenant:acme ann seen by hand").await.unwrap_or_default();
-        sure(opened.starts_with("200 "), || opened.clone())?;
+        opened(&fleet).await?;
         fleet.until(6, "INCIDENT", SOON, |text| text.contains("tenant:acme")).await?;
         fleet.set(Fault::None, link);
         Ok(())
--- a/crates/hillstall/tests/fleet/talking.rs
+++ b/crates/hillstall/tests/fleet/talking.rs
@@ -2,6 +2,7 @@
 
 use crate::harness::{drill_with, Played};
 use hillstall_drill::fleet::{Ends, Fleet};
+use hillstall_drill::keeper::Sign;
 use hillstall_drill::link::Fault;
 use hillstall_drill::run::Script;
 use hillstall_drill::talk::{judge, Act, Talk};
@@ -10,6 +11,7 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::time::sleep;
 
 /// Far above what any step takes; past it a drill fails with what the copies said last.
 pub const SOON: Duration = Duration::from_secs(8);
@@ -108,6 +110,22 @@
     }
 }
 
+/// Says a line to a copy, whose answer has to begin as wanted.
+pub async fn says(fleet: &Fleet, process: usize, line: &str, begins: &str) -> Result<String, String> {
+    let text = fleet.line(process, line).await.unwrap_or_default();
+    sure(text.starts_with(begins), || format!("{line}: {text:?} where {begins:?} was wanted"))?;
+    Ok(text)
+}
+
+/// Kills a copy, and waits until it has ended.
+pub async fn kill(fleet: &Fleet, process: usize) -> Told {
+    fleet.signal(process, Sign::Kill)?;
+    while fleet.processes[process].runs.get() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    Ok(())
+}
+
 /// Does something to a fleet's links, and sees that it bites: what passed before, and nothing while it lasts.
 pub fn cut(fleet: &Fleet, fault: Fault, which: impl Fn(Ends) -> bool + Copy) -> Told {
     let passed = fleet.passed(which);
--- a/crates/hillstall/tests/fleet/windows.rs
+++ b/crates/hillstall/tests/fleet/windows.rs
@@ -1,11 +1,12 @@
 //! Windows: a site is empty before its maintenance begins, and comes back, whoever dies meanwhile.
 
 use crate::harness::{service, wait};
-use crate::talking::{settled, sure, talk, Talked, BUSY, SOON};
+use crate::talking::{settled, sure, talk, Talked, Told, BUSY, SOON};
 use hillstall_drill::fleet::{Ends, Fleet};
 use hillstall_drill::keeper::Sign;
 use hillstall_drill::link::Fault;
 use std::cell::RefCell;
+use std::future::Future;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -22,18 +23,10 @@
 static NEXT: AtomicUsize = AtomicUsize::new(0);
 
 /// A drill with windows.
-fn windowed<F>(
-    name: &str,
-    keepers: usize,
-    section: &str,
-    script: impl Fn(Rc<Fleet>) -> F + Clone + 'static,
-) -> Talked
-where
-    F: std::future::Future<Output = Result<(), String>> + 'static,
-{
+fn windowed<F: Future<Output = Told> + 'static>(script: impl Fn(Rc<Fleet>) -> F + Clone + 'static) -> Talked {
     let place = &PLACES[NEXT.fetch_add(1, Ordering::Relaxed) % PLACES.len()];
     let _place = place.lock().unwrap_or_else(PoisonError::into_inner);
-    talk(name, keepers, section, script)
+    talk("drill-window", 3, SECTION, script)
 }
 
 /// Waits until a site's window is where it is wanted. One that could not begin in time says that the machine was busy.
@@ -71,7 +64,7 @@
     let times: Rc<RefCell<Vec<f64>>> = Rc::default();
     let servers: Rc<RefCell<Vec<usize>>> = Rc::default();
     let (seen, of_site) = (times.clone(), servers.clone());
-    let told = windowed("drill-window", 3, SECTION, move |fleet| {
+    let told = windowed(move |fleet| {
         let (seen, of_site) = (seen.clone(), of_site.clone());
         async move {
             seen.borrow_mut().clear();
@@ -108,32 +101,32 @@
 
 #[test]
 fn a_window_goes_on_when_the_owner_of_its_shift_dies() {
-    windowed("drill-window", 3, SECTION, |fleet| async move {
+    windowed(|fleet| async move {
         settled(&fleet).await?;
         plan(&fleet, "zone-1", 9, 3).await?;
         stage(&fleet, "zone-1 shifting").await?;
         let (first, token) = fleet.new_owner(SHIFT, &[], SOON).await?;
-        fleet.signal(first, Sign::Kill).map_err(|why| why.to_string())?;
+        fleet.signal(first, Sign::Kill)?;
         let (_, newer) = fleet.new_owner(SHIFT, &[first], SOON).await?;
         sure(newer > token, || format!("{newer} after {token}"))?;
         stage(&fleet, "zone-1 running").await?;
         stage(&fleet, "zone-1 done").await?;
-        fleet.start_process(first).await.map_err(|why| why.to_string())
+        Ok(fleet.start_process(first).await?)
     });
 }
 
 #[test]
 fn an_owner_that_stood_still_in_a_shift_moves_nothing_when_it_goes_on() {
-    let told = windowed("drill-window", 3, SECTION, |fleet| async move {
+    let told = windowed(|fleet| async move {
         settled(&fleet).await?;
         plan(&fleet, "zone-1", 9, 3).await?;
         stage(&fleet, "zone-1 shifting").await?;
         let (first, _) = fleet.new_owner(SHIFT, &[], SOON).await?;
-        fleet.signal(first, Sign::Stop).map_err(|why| why.to_string())?;
+        fleet.signal(first, Sign::Stop)?;
         fleet.new_owner(SHIFT, &[first], SOON).await?;
         stage(&fleet, "zone-1 running").await?;
         // What it had in hand goes out now.
-        fleet.signal(first, Sign::Go).map_err(|why| why.to_string())?;
+        fleet.signal(first, Sign::Go)?;
         stage(&fleet, "zone-1 done").await.map(|_| ())
     });
     let tokens: std::collections::BTreeSet<u64> =
@@ -143,7 +136,7 @@
 
 #[test]
 fn the_site_comes_back_when_another_is_lost_in_the_middle_of_the_shift() {
-    windowed("drill-window", 3, SECTION, |fleet| async move {
+    windowed(|fleet| async move {
         settled(&fleet).await?;
         plan(&fleet, "zone-1", 12, 6).await?;
         let half =
@@ -163,7 +156,7 @@
 
 #[test]
 fn an_incident_before_it_postpones_a_window_and_two_are_never_away() {
-    windowed("drill-window", 3, SECTION, |fleet| async move {
+    windowed(|fleet| async move {
         settled(&fleet).await?;
         plan(&fleet, "zone-1", 8, 3).await?;
         plan(&fleet, "zone-2", 8, 3).await?;
@@ -188,20 +181,20 @@
 
 #[test]
 fn without_keepers_a_site_comes_back_by_itself() {
-    windowed("drill-window", 3, SECTION, |fleet| async move {
+    windowed(|fleet| async move {
         settled(&fleet).await?;
         plan(&fleet, "zone-1", 7, 60).await?;
         stage(&fleet, "zone-1 running").await?;
         fleet.until(8, "FLEET", SOON, |text| text.contains("part zone-1 0.000")).await?;
         for keeper in 0..3 {
-            fleet.signal(keeper, Sign::Kill).map_err(|why| why.to_string())?;
+            fleet.signal(keeper, Sign::Kill)?;
         }
         // The order holds for its time, and then wears off at the stated pace.
         let on_the_way = |text: &str| text.contains("part zone-1 0.") && !text.contains("part zone-1 0.000");
         fleet.until(8, "FLEET", LONG, on_the_way).await?;
         fleet.until(8, "FLEET", LONG, |text| text.contains("part zone-1 1.000")).await?;
         for keeper in 0..3 {
-            fleet.start_process(keeper).await.map_err(|why| why.to_string())?;
+            fleet.start_process(keeper).await?;
         }
         Ok(())
     });
