A window ends when its site carries its load again, not when that is commanded

Cause: ShiftController proposed Finish one step interval after the commanded fraction was full and looked at no report, while each instance raises the traffic by its own ramp (way_back).

Change: a step back waits until three in four instances report at least the step before the last; the window ends once they report all of it and four fifths of the usual requests came over a few seconds and were served. Both waits are bounded by the ramp and 10 s; past that the window ends with `why=overdue:` and what was missing. Without reports the steps go at the ramp's pace. WINDOW shows reported= beside part=. No replicated command and no stored byte changed. The controller is split by subject (load, pacing, admission, recovery), and the ramp stands once, in ShiftPacing.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -20,14 +20,12 @@
     pub sites: Vec<String>,
     /// The term and clock margins of leases.
     pub lease_timing: LeaseTiming,
-    /// The step size and limits of a traffic shift.
+    /// The step size, ramp and limits of a traffic shift.
     pub pacing: ShiftPacing,
     /// The thresholds above which load reports open an incident.
     pub thresholds: Thresholds,
     /// How long a fenced command stays in effect unless it is repeated, in milliseconds.
     pub command_ttl: Millis,
-    /// How long a site's traffic takes from 0 to its full share when no lease holder restores it, in milliseconds.
-    pub ramp_duration: Millis,
     /// The seed of this instance's random numbers.
     pub seed: u64,
 }
--- a/crates/consensus/src/lease_manager.rs
+++ b/crates/consensus/src/lease_manager.rs
@@ -96,7 +96,7 @@
             None => BTreeMap::new(),
         };
         let full_traffic =
-            || SiteTraffic { ramp: TrafficRamp::full(now, config.ramp_duration), reported: 1.0 };
+            || SiteTraffic { ramp: TrafficRamp::full(now, config.pacing.ramp_duration), reported: 1.0 };
         LeaseManager {
             instance: config.instance,
             timing: config.lease_timing,
--- a/crates/consensus/src/load_reports.rs
+++ b/crates/consensus/src/load_reports.rs
@@ -104,21 +104,26 @@
         self.fractions.push(counts.fraction);
     }
 
-    /// The fraction that three in four instances don't exceed, from 0 to 1.
-    fn upper_quartile_fraction(&mut self) -> f64 {
+    /// The fractions, from 0 to 1, that three in four instances don't fall below and don't exceed.
+    fn quartile_fractions(&mut self) -> (f64, f64) {
         self.fractions.sort_unstable();
         let upper_quartile = (self.fractions.len() * 3).div_ceil(4).max(1) - 1;
-        self.fractions.get(upper_quartile).map_or(0.0, |fraction| f64::from(*fraction) / 1_000.0)
+        let lower_quartile = self.fractions.len().saturating_sub(upper_quartile + 1);
+        let fraction_at =
+            |index: usize| self.fractions.get(index).map_or(0.0, |fraction| f64::from(*fraction) / 1_000.0);
+        (fraction_at(lower_quartile), fraction_at(upper_quartile))
     }
 
     /// The site's load. `samples` are of what was sent per second, newest last.
     fn into_load(mut self, samples: &VecDeque<f64>) -> SiteLoad {
         let mean =
             |latest: usize| samples.iter().rev().take(latest).sum::<f64>() / samples.len().min(latest) as f64;
+        let (min_fraction, fraction) = self.quartile_fractions();
         SiteLoad {
             sent: mean(CURRENT_SAMPLES),
             baseline: mean(MAX_SAMPLES).max(mean(MAX_SAMPLES / 2)),
-            fraction: self.upper_quartile_fraction(),
+            fraction,
+            min_fraction,
             success_ratio: if self.ended > 0.0 { self.served / self.ended } else { 1.0 },
             utilization: (self.utilization_reports > 0.0)
                 .then(|| self.utilization / self.utilization_reports),
@@ -163,6 +168,12 @@
         }
     }
 
+    /// The fraction of each site's usual traffic that three in four instances send at least, by their recent reports.
+    pub fn min_fractions(&self, now: Millis) -> BTreeMap<String, f64> {
+        let totals = self.site_totals(now).into_iter();
+        totals.map(|(site, mut totals)| (site, totals.quartile_fractions().0)).collect()
+    }
+
     fn site_totals(&self, now: Millis) -> BTreeMap<String, SiteTotals> {
         let mut totals: BTreeMap<String, SiteTotals> = BTreeMap::new();
         for received in self.recent_entries(now) {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -168,6 +168,12 @@
         self.leases.site_fraction(site, now)
     }
 
+    /// The fraction of each site's usual traffic that three in four instances report to send at least. Only replicas
+    /// receive reports.
+    pub fn reported_fractions(&self, now: Millis) -> BTreeMap<String, f64> {
+        self.reports.min_fractions(now)
+    }
+
     /// Lets time pass to `now`, a monotonic time. `unix` is the system clock, which may step; it is compared with the
     /// clocks of the other replicas.
     pub fn tick(&mut self, now: Millis, unix: Millis) {
--- a/crates/consensus/tests/sim/processes.rs
+++ b/crates/consensus/tests/sim/processes.rs
@@ -35,10 +35,9 @@
             site: site_name(rank),
             sites: (0..3).map(site_name).collect(),
             lease_timing: LeaseTiming::new(2_000, 50_000, 100).expect("valid timing"),
-            pacing: ShiftPacing { step_interval: 300, ..ShiftPacing::default() },
+            pacing: ShiftPacing { step_interval: 300, ramp_duration: 6_000, ..ShiftPacing::default() },
             thresholds: Thresholds::default(),
             command_ttl: 4_000,
-            ramp_duration: 6_000,
             seed,
         };
         instance.node = Some(Node::start(config, storage, instance.clock.monotonic(self.now)));
--- a/crates/coordination/src/admin_commands/render.rs
+++ b/crates/coordination/src/admin_commands/render.rs
@@ -4,6 +4,7 @@
 use hillstall_change_freeze::state::{ChangeStatus, FreezeState, Requester, Response};
 use hillstall_consensus::state::Outcome;
 use hillstall_maintenance::windows::Windows;
+use std::collections::BTreeMap;
 use std::fmt::Write;
 
 const END_OF_LIST: &str = "EOF\n";
@@ -39,14 +40,18 @@
     }
 }
 
-/// All maintenance windows, one a line.
-pub fn windows(windows: &Windows) -> String {
+/// All maintenance windows, one a line. `reported` holds the fraction, from 0 to 1, that most instances report to send each
+/// site at least; it is empty where no reports arrive.
+pub fn windows(windows: &Windows, reported: &BTreeMap<String, f64>) -> String {
     let mut text = String::new();
     for (number, window) in windows.all() {
         let (site, stage) = (&window.plan.site, &window.stage);
         let begin = calendar::format_timestamp(window.plan.starts_at);
         let percent = f64::from(window.fraction) / PER_MILLE_PER_PERCENT;
         let _ = write!(text, "{number} {site} {stage} begin={begin} part={percent}%");
+        if let Some(fraction) = reported.get(site).filter(|_| stage.takes_traffic_away()) {
+            let _ = write!(text, " reported={:.1}%", 100.0 * fraction);
+        }
         if window.overrun {
             text.push_str(" overrun");
         }
--- a/crates/coordination/src/runtime/admin.rs
+++ b/crates/coordination/src/runtime/admin.rs
@@ -37,7 +37,7 @@
         let state = self.node.state();
         match query {
             StateQuery::Status => self.render_status(now),
-            StateQuery::Windows => render::windows(state.windows()),
+            StateQuery::Windows => render::windows(state.windows(), &self.node.reported_fractions(now)),
             StateQuery::Incidents => render::incidents(state.freeze()),
             StateQuery::Changes => render::changes(state.freeze()),
             StateQuery::AuditRecords => render::audit_records(state.freeze()),
--- a/crates/coordination/src/runtime/event_loop.rs
+++ b/crates/coordination/src/runtime/event_loop.rs
@@ -287,7 +287,6 @@
         pacing: settings.pacing,
         thresholds: Default::default(),
         command_ttl: millis(settings.command_ttl),
-        ramp_duration: millis(settings.ramp_duration),
         seed: identity.instance.incarnation,
     }
 }
--- a/crates/coordination/src/settings/mod.rs
+++ b/crates/coordination/src/settings/mod.rs
@@ -45,9 +45,7 @@
     pub lease_timing: LeaseTiming,
     /// How long a fenced command is valid that is not repeated.
     pub command_ttl: Duration,
-    /// Time in which a site's load returns from none to all where no lease holder leads it.
-    pub ramp_duration: Duration,
-    /// Steps of a traffic shift.
+    /// Steps of a traffic shift, and the ramp by which each instance restores a site's load.
     pub pacing: ShiftPacing,
     /// Each person's main name by all of their names; empty if any name is a person.
     pub people: BTreeMap<String, String>,
--- a/crates/coordination/src/settings/validation.rs
+++ b/crates/coordination/src/settings/validation.rs
@@ -102,7 +102,6 @@
         }
         let lease_timing = self.lease_timing(&section);
         let command_ttl = self.duration(section.holds.as_ref(), "holds", &COMMAND_TTL);
-        let ramp_duration = self.duration(section.way_back.as_ref(), "way_back", &RAMP_DURATION);
         let pacing = self.pacing(&section);
         let people = self.people(&section.people);
         let window_offsets = section.window.iter().map(|window| window.span().start).collect();
@@ -116,7 +115,6 @@
             site: section.site.map(Spanned::into_inner),
             lease_timing,
             command_ttl,
-            ramp_duration,
             pacing,
             people,
             window_offsets,
@@ -238,11 +236,13 @@
     fn pacing(&mut self, section: &FleetSection) -> ShiftPacing {
         let step = self.number(section.step.as_ref(), "step", &STEP);
         let interval = self.duration(section.step_wait.as_ref(), "step_wait", &STEP_INTERVAL);
+        let ramp_duration = self.duration(section.way_back.as_ref(), "way_back", &RAMP_DURATION);
         let reporting = self.number(section.heard.as_ref(), "heard", &REPORTING_RATIO);
         ShiftPacing {
             max_step: (step * PER_MILLE_PER_PERCENT) as TrafficFraction,
             step_interval: millis(interval),
             min_reporting_ratio: reporting / 100.0,
+            ramp_duration: millis(ramp_duration),
             ..ShiftPacing::default()
         }
     }
--- a/crates/maintenance/src/shift.rs
+++ b/crates/maintenance/src/shift/mod.rs
@@ -1,12 +1,27 @@
 //! What the holder of a site's lease proposes next for its window.
 //!
-//! Each step waits for the effect of the last one, and is no larger than what the other sites can take above their
+//! Each step waits for the effect of the last one. A step down is no larger than what the other sites can take above their
 //! reserve.
-
-use crate::windows::{OverrunPolicy, Stage, Window, WindowCommand, WindowPlan};
+//!
+//! - `load`: what the instances report together;
+//! - `pacing`: the size and pace of the steps;
+//! - `admission`: whether a window may begin;
+//! - `recovery`: how the traffic comes back, and when the window is over.
+
+mod admission;
+mod load;
+mod pacing;
+mod recovery;
+
+pub use admission::{admission_blocker, AdmissionBlocker};
+pub use load::{FleetLoad, SiteLoad};
+pub use pacing::ShiftPacing;
+pub use recovery::RecoveryBlocker;
+
+use crate::windows::{OverrunPolicy, Stage, Window, WindowCommand};
 use crate::{Millis, TrafficFraction, FULL_TRAFFIC};
 use hillstall_change_freeze::state::Number;
-use std::collections::BTreeMap;
+use recovery::Recovery;
 
 const LATE_REASON: &str = "it could not begin in time";
 /// By how much the reported traffic fraction may exceed the commanded one.
@@ -14,164 +29,6 @@
 /// [`Window::baseline_rate`] counts requests per this many seconds.
 const BASELINE_RATE_SECONDS: f64 = 1_000.0;
 
-/// The load of one site, as the instances report it together.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct SiteLoad {
-    /// Requests per second sent there, over the last second.
-    pub sent: f64,
-    /// Requests per second sent there, over a few seconds: steps are measured against it and not against a short peak.
-    pub baseline: f64,
-    /// Three in four instances send it no more than this fraction of its usual traffic; from 0 to 1.
-    pub fraction: f64,
-    /// The fraction of completed requests that were served; from 0 to 1.
-    pub success_ratio: f64,
-    /// The fraction of its backends' capacity in use, if they report it.
-    pub utilization: Option<f64>,
-}
-
-impl SiteLoad {
-    /// How many more requests per second the site can take above its reserve; `None` if its utilization is unknown.
-    fn headroom(&self, reserve_percent: u8) -> Option<f64> {
-        let utilization = self.utilization.filter(|utilization| *utilization > 0.0)?;
-        let max_utilization = 1.0 - f64::from(reserve_percent) / 100.0;
-        Some((self.sent * (max_utilization / utilization - 1.0)).max(0.0))
-    }
-
-    fn serves_well(&self, pacing: &ShiftPacing) -> bool {
-        self.sent <= 0.0 || self.success_ratio >= pacing.min_success_ratio
-    }
-}
-
-/// The load of the fleet.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct FleetLoad {
-    /// The load of each site.
-    pub sites: BTreeMap<String, SiteLoad>,
-    /// The fraction of the fleet's instances whose reports are recent; from 0 to 1.
-    pub reporting_ratio: f64,
-    /// Why no site may be shifted, such as an incident at another site; `None` if nothing speaks against it.
-    pub blocker: Option<String>,
-}
-
-impl FleetLoad {
-    fn sent_to(&self, site: &str) -> f64 {
-        self.sites.get(site).map_or(0.0, |load| load.sent)
-    }
-
-    fn other_sites<'a>(&'a self, site: &'a str) -> impl Iterator<Item = (&'a String, &'a SiteLoad)> {
-        self.sites.iter().filter(move |(other, _)| *other != site)
-    }
-
-    /// How many more requests per second the other sites can take; `None` if that is unknown for one of them.
-    fn other_headroom(&self, plan: &WindowPlan) -> Option<f64> {
-        self.other_sites(&plan.site).map(|(_, load)| load.headroom(plan.reserve_percent)).sum()
-    }
-
-    fn has_enough_reports(&self, pacing: &ShiftPacing) -> bool {
-        self.reporting_ratio >= pacing.min_reporting_ratio
-    }
-}
-
-/// The pace of a shift.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ShiftPacing {
-    /// The largest step, in thousandths of the usual traffic.
-    pub max_step: TrafficFraction,
-    /// The minimum time between two steps, for their effect to be observed; in milliseconds.
-    pub step_interval: Millis,
-    /// A site counts as empty at or below this fraction of its usual traffic.
-    pub empty_ratio: f64,
-    /// The fraction of the instances whose reports must be recent.
-    pub min_reporting_ratio: f64,
-    /// The fraction of requests that the other sites must serve.
-    pub min_success_ratio: f64,
-}
-
-impl Default for ShiftPacing {
-    /// Eight steps of one second each; half a percent of the traffic left; reports of three in four instances; nine in ten
-    /// requests served.
-    fn default() -> ShiftPacing {
-        ShiftPacing {
-            max_step: 125,
-            step_interval: 1_000,
-            empty_ratio: 0.005,
-            min_reporting_ratio: 0.75,
-            min_success_ratio: 0.9,
-        }
-    }
-}
-
-/// Why a window is not admitted now. The text may become the reason of a postponed window, which is replicated.
-#[derive(Clone, Debug, PartialEq, thiserror::Error)]
-pub enum AdmissionBlocker {
-    /// The reports of too many instances are missing.
-    #[error("only {:.0}% of the copies are heard of", 100.0 * reporting_ratio)]
-    MissingReports {
-        /// See [`FleetLoad::reporting_ratio`].
-        reporting_ratio: f64,
-    },
-    /// See [`FleetLoad::blocker`].
-    #[error("{0}")]
-    Fleet(String),
-    /// No instance reports the site's load.
-    #[error("no copy reports anything of {site}")]
-    UnknownLoad {
-        /// The site of the window.
-        site: String,
-    },
-    /// No site could take over the traffic.
-    #[error("there is no other site")]
-    NoOtherSite,
-    /// Another site does not serve its own traffic well enough.
-    #[error("{site} serves only {:.0}% of its calls", 100.0 * success_ratio)]
-    OtherSiteFailing {
-        /// The other site.
-        site: String,
-        /// See [`SiteLoad::success_ratio`].
-        success_ratio: f64,
-    },
-    /// The other sites can't take over the traffic.
-    #[error("the others can take {headroom:.0} calls a second above their reserve, {site} has {rate:.0}")]
-    InsufficientHeadroom {
-        /// What the other sites can take above their reserve, in requests per second.
-        headroom: f64,
-        /// The site of the window.
-        site: String,
-        /// The site's traffic, in requests per second.
-        rate: f64,
-    },
-}
-
-/// Why a window is not admitted now; `None` if it can be.
-pub fn admission_blocker(
-    plan: &WindowPlan,
-    load: &FleetLoad,
-    pacing: &ShiftPacing,
-) -> Option<AdmissionBlocker> {
-    let reporting_ratio = load.reporting_ratio;
-    if reporting_ratio < pacing.min_reporting_ratio {
-        return Some(AdmissionBlocker::MissingReports { reporting_ratio });
-    }
-    if let Some(reason) = &load.blocker {
-        return Some(AdmissionBlocker::Fleet(reason.clone()));
-    }
-    let Some(own) = load.sites.get(&plan.site) else {
-        return Some(AdmissionBlocker::UnknownLoad { site: plan.site.clone() });
-    };
-    if load.other_sites(&plan.site).next().is_none() {
-        return Some(AdmissionBlocker::NoOtherSite);
-    }
-    if let Some((site, other)) = load.other_sites(&plan.site).find(|(_, other)| !other.serves_well(pacing)) {
-        let success_ratio = other.success_ratio;
-        return Some(AdmissionBlocker::OtherSiteFailing { site: site.clone(), success_ratio });
-    }
-    // Without utilization the headroom is unknown; each step is then judged by the effect of the last one.
-    let headroom = load.other_headroom(plan)?;
-    let rate = own.baseline.max(own.sent);
-    let site = plan.site.clone();
-    (rate > headroom).then_some(AdmissionBlocker::InsufficientHeadroom { headroom, site, rate })
-}
-
 /// What was last observed of a window, and since when.
 #[derive(Clone, Copy, Debug)]
 struct ObservedStep {
@@ -197,8 +54,7 @@
         pacing: &ShiftPacing,
     ) -> Option<WindowCommand> {
         let unchanged_for = monotonic_now.saturating_sub(self.unchanged_since(monotonic_now, number, window));
-        let has_waited = unchanged_for >= pacing.step_interval;
-        Decision { now: unix_now, number, window, load, pacing, has_waited }.next_command()
+        Decision { now: unix_now, number, window, load, pacing, unchanged_for }.next_command()
     }
 
     /// Since when the window has its stage and its fraction.
@@ -223,8 +79,8 @@
     window: &'a Window,
     load: &'a FleetLoad,
     pacing: &'a ShiftPacing,
-    /// The last step is at least [`ShiftPacing::step_interval`] ago.
-    has_waited: bool,
+    /// How long the window has had its stage and fraction, in milliseconds.
+    unchanged_for: Millis,
 }
 
 impl Decision<'_> {
@@ -263,7 +119,7 @@
     }
 
     fn when_shifting(&self) -> Option<WindowCommand> {
-        if !self.has_waited {
+        if !self.has_waited() {
             None
         } else if self.window.fraction > 0 {
             self.last_step_took_effect().then(|| self.reduce_traffic()).flatten()
@@ -293,14 +149,29 @@
     }
 
     fn when_returning(&self) -> Option<WindowCommand> {
-        if !self.has_waited {
+        if !self.has_waited() {
             return None;
         }
-        if self.window.fraction == FULL_TRAFFIC {
-            return Some(WindowCommand::Finish { window: self.number });
+        let Decision { window, load, pacing, unchanged_for, .. } = *self;
+        let recovery = Recovery { window, load, pacing, baseline_rate: self.baseline_rate(), unchanged_for };
+        if window.fraction < FULL_TRAFFIC {
+            let fraction = window.fraction.saturating_add(pacing.max_step).min(FULL_TRAFFIC);
+            return recovery.may_step().then(|| self.restore_traffic(fraction, None));
         }
-        let fraction = self.window.fraction.saturating_add(self.pacing.max_step).min(FULL_TRAFFIC);
-        Some(self.restore_traffic(fraction, None))
+        let blocker = recovery.blocker();
+        if blocker.is_some() && !recovery.is_overdue() {
+            return None;
+        }
+        // The reason of an abort stays; a return that goes on without the reports gets one before the window ends.
+        match blocker.filter(|_| window.reason.is_empty()) {
+            Some(blocker) => Some(self.restore_traffic(FULL_TRAFFIC, Some(format!("overdue: {blocker}")))),
+            None => Some(WindowCommand::Finish { window: self.number }),
+        }
+    }
+
+    /// Whether the last step is at least [`ShiftPacing::step_interval`] ago.
+    fn has_waited(&self) -> bool {
+        self.unchanged_for >= self.pacing.step_interval
     }
 
     /// Ends a window that has not begun, if it is late or something has come up.
--- a/crates/maintenance/tests/windows/main.rs
+++ b/crates/maintenance/tests/windows/main.rs
@@ -4,5 +4,6 @@
 mod common;
 mod invariants;
 mod lifecycle;
+mod recovery;
 mod shift;
 mod traffic;
--- a/crates/maintenance/tests/windows/shift.rs
+++ b/crates/maintenance/tests/windows/shift.rs
@@ -12,6 +12,7 @@
         sent,
         baseline: sent,
         fraction: sent / 100.0,
+        min_fraction: sent / 100.0,
         success_ratio: 1.0,
         utilization: Some(utilization),
     };
