--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -137,8 +137,12 @@
         self.unsaved.snapshot = Some(encode(&self.snapshot));
     }
 
-    /// Takes what has to be stored now.
+    /// Takes what has to be stored now. The commit index goes along with whatever is stored, so that it is never behind a
+    /// stored snapshot.
     pub fn take_unsaved(&mut self) -> WriteBatch {
+        if !self.unsaved.is_empty() {
+            self.unsaved.hard_state = Some(encode(&self.hard_state));
+        }
         std::mem::take(&mut self.unsaved)
     }
 
--- /dev/null
+++ b/crates/consensus/tests/log.rs
@@ -0,0 +1,30 @@
+//! What is stored of the log.
+
+use hillstall_consensus::log::RaftLog;
+use hillstall_consensus::storage::PersistentState;
+use raft::eraftpb::{Entry, HardState};
+
+const LAST_INDEX: u64 = 5;
+const TERM: u64 = 2;
+
+/// A log with some entries of one term, and what is stored of it.
+fn stored_log() -> (RaftLog, PersistentState) {
+    let (mut log, mut stored) = (RaftLog::empty(), PersistentState::default());
+    let entry = |index| Entry { index, term: TERM, ..Entry::default() };
+    log.append(&(1..=LAST_INDEX).map(entry).collect::<Vec<_>>());
+    log.set_hard_state(&HardState { term: TERM, ..HardState::default() });
+    log.take_unsaved().apply(&mut stored);
+    (log, stored)
+}
+
+// Guards against a replica that crashes after a snapshot and takes its own storage for a corrupt one: the stored commit index
+// was behind the stored snapshot.
+#[test]
+fn a_stored_snapshot_is_never_ahead_of_the_stored_commit_index() {
+    let (mut log, mut stored) = stored_log();
+    log.set_commit(LAST_INDEX);
+    log.compact(LAST_INDEX, b"state".to_vec(), 0);
+    log.take_unsaved().apply(&mut stored);
+    let read = RaftLog::read(&stored).expect("the storage is whole");
+    assert_eq!(read.snapshot_state().0, LAST_INDEX);
+}
