A lease handover costs three writes and no tick: what arrives together is stored together

Cause: two replicated commands are needed (release, first renewal), but each proposal and each message was stored and synced by itself, each new commit index was synced once more before its entry was applied, and the successor renewed, and was audited, on its next tick. The event loop blocks while it syncs, so a busy disk or machine multiplies this.

Change: Replica::flush carries out what all inputs since the last call have led to; a node flushes when its outputs are taken, and the event loop takes up to 128 frames that have arrived before it does so. A commit index alone is not stored. A grant is confirmed as soon as it is applied. Fencing, the lease's clock, the wire and the stored form are unchanged.

--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -165,10 +165,14 @@
         &self.members
     }
 
-    /// Sets the term, the vote and the commit index.
+    /// Sets the term, the vote and the commit index. A new commit index alone need not be stored: see
+    /// [`RaftLog::set_commit`].
     pub fn set_hard_state(&mut self, hard_state: &HardState) {
+        let is_promise = (hard_state.term, hard_state.vote) != (self.hard_state.term, self.hard_state.vote);
         self.hard_state = hard_state.clone();
-        self.unsaved.hard_state = Some(encode(&self.hard_state));
+        if is_promise {
+            self.unsaved.hard_state = Some(encode(&self.hard_state));
+        }
     }
 
     /// Sets the commit index. It need not be stored: a replica learns it again.
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -124,8 +124,11 @@
         node
     }
 
-    /// Takes the outputs since the last call, in the order in which they are to be carried out.
-    pub fn take_outputs(&mut self) -> Vec<Output> {
+    /// Takes the outputs since the last call, in the order in which they are to be carried out. To be called after each
+    /// input, or after several that arrived together: a replica then stores what they lead to in one write.
+    pub fn take_outputs(&mut self, now: Millis) -> Vec<Output> {
+        self.process_replica_events(now);
+        self.outputs.extend(self.leases.take_audit_events(now).into_iter().map(Output::Audit));
         std::mem::take(&mut self.outputs)
     }
 
@@ -194,7 +197,6 @@
             self.output_changed_fractions(now);
         }
         self.feed_followers(now);
-        self.outputs.extend(self.leases.take_audit_events(now).into_iter().map(Output::Audit));
     }
 
     /// Updates the leases after a change of the state, and accepts fenced commands once the read index is reached.
--- a/crates/consensus/src/node/proposals.rs
+++ b/crates/consensus/src/node/proposals.rs
@@ -55,7 +55,6 @@
         let deadline = now.saturating_add(timeout);
         let pending = PendingProposal { proposal, origin, created_at: now, sent_at: now, deadline };
         self.pending_proposals.insert(number, pending);
-        self.process_replica_events(now);
     }
 
     /// Proposes a command that nobody waits for, unless the same command is pending.
@@ -90,13 +89,9 @@
                 retries.push(pending.proposal.clone());
             }
         }
-        if retries.is_empty() {
-            return;
-        }
         for proposal in &retries {
             self.send_proposal(proposal);
         }
-        self.process_replica_events(now);
     }
 
     fn time_out_proposals(&mut self, now: Millis) {
--- a/crates/consensus/src/node/reads.rs
+++ b/crates/consensus/src/node/reads.rs
@@ -34,7 +34,6 @@
             Some(replica) => {
                 self.pending_reads.insert(number, ReadRequester::Local);
                 replica.read_index(number);
-                self.process_replica_events(now);
             }
             None if self.followed.connected => {
                 self.pending_reads.insert(number, ReadRequester::Local);
@@ -48,12 +47,11 @@
     }
 
     /// Starts a read for an attached instance.
-    pub(super) fn on_read_request(&mut self, now: Millis, instance: Instance, number: u64) {
+    pub(super) fn on_read_request(&mut self, instance: Instance, number: u64) {
         let Some(replica) = &mut self.replica else { return };
         self.last_number += 1;
         self.pending_reads.insert(self.last_number, ReadRequester::Follower { instance, number });
         replica.read_index(self.last_number);
-        self.process_replica_events(now);
     }
 
     /// Passes the answer of a read of the local replica to whoever waits for it.
--- a/crates/consensus/src/node/replication.rs
+++ b/crates/consensus/src/node/replication.rs
@@ -35,7 +35,6 @@
             Frame::Replica(message) => {
                 if let Some(replica) = &mut self.replica {
                     replica.on_message(now, slot, &message);
-                    self.process_replica_events(now);
                 }
             }
             Frame::Reports { unix, reports } => {
@@ -57,9 +56,8 @@
         match frame {
             Frame::Propose(proposal) if proposal.id.instance == instance => {
                 replica.propose(&proposal);
-                self.process_replica_events(now);
             }
-            Frame::Read { number } => self.on_read_request(now, instance, number),
+            Frame::Read { number } => self.on_read_request(instance, number),
             Frame::Ack(index) => self.followers.on_ack(now, instance, index),
             Frame::Report(report) if report.instance == Some(instance) => self.reports.record(now, report),
             _ => {}
@@ -79,22 +77,33 @@
         }
     }
 
-    /// Takes the events of the local replica.
+    /// Lets the local replica carry out what its inputs have led to, and takes its events. A lease that is granted here is
+    /// confirmed at once, without waiting for the next tick.
     pub(super) fn process_replica_events(&mut self, now: Millis) {
-        let Some(replica) = &mut self.replica else { return };
-        for event in replica.take_events() {
-            match event {
-                ReplicaEvent::Send { slot, message } => self.send_to_replica(slot, Frame::Replica(message)),
-                ReplicaEvent::Applied(applied) => self.on_applied(now, applied),
-                ReplicaEvent::Restored => {
-                    let index = self.state().index();
-                    self.followers.on_restored(index);
-                }
-                ReplicaEvent::ReadReady { number } => self.on_read_ready(number),
-                ReplicaEvent::Log(line) => self.outputs.push(Output::Log(line)),
+        loop {
+            let Some(replica) = &mut self.replica else { return };
+            replica.flush();
+            let events = replica.take_events();
+            if events.is_empty() {
+                return;
+            }
+            events.into_iter().for_each(|event| self.on_replica_event(now, event));
+            self.on_state_changed(now);
+            self.propose_lease_commands(now);
+        }
+    }
+
+    fn on_replica_event(&mut self, now: Millis, event: ReplicaEvent) {
+        match event {
+            ReplicaEvent::Send { slot, message } => self.send_to_replica(slot, Frame::Replica(message)),
+            ReplicaEvent::Applied(applied) => self.on_applied(now, applied),
+            ReplicaEvent::Restored => {
+                let index = self.state().index();
+                self.followers.on_restored(index);
             }
+            ReplicaEvent::ReadReady { number } => self.on_read_ready(number),
+            ReplicaEvent::Log(line) => self.outputs.push(Output::Log(line)),
         }
-        self.on_state_changed(now);
     }
 
     /// Takes an entry that the local replica has applied.
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -233,7 +233,7 @@
         node.raft.set_randomized_election_timeout(self.election_timeout_ticks);
     }
 
-    /// Lets time pass to `now`. After a long pause only one tick counts, as nothing could be received meanwhile.
+    /// Lets time pass to `now`; [`Replica::flush`] carries out what follows. After a long pause only one tick counts, as nothing could be received meanwhile.
     pub fn tick(&mut self, now: Millis) {
         self.now = now;
         if self.halt_reason.is_some() {
@@ -253,10 +253,9 @@
         self.draw_election_timeout();
         self.change_members(now);
         self.resend_lost_snapshots(now);
-        self.process_ready();
     }
 
-    /// Takes a message of the replica in `slot`.
+    /// Takes a message of the replica in `slot`; [`Replica::flush`] carries out what follows.
     pub fn on_message(&mut self, now: Millis, slot: usize, message: &ReplicaMessage) {
         self.now = now;
         if self.halt_reason.is_some() {
@@ -267,10 +266,9 @@
             ReplicaMessage::Raft(bytes) => self.on_raft_message(bytes),
         }
         self.draw_election_timeout();
-        self.process_ready();
     }
 
-    /// Takes the events since the last call, in their order.
+    /// Takes the events since the last call, in their order. Messages that wait for [`Replica::flush`] are not among them.
     pub fn take_events(&mut self) -> Vec<ReplicaEvent> {
         std::mem::take(&mut self.events)
     }
--- a/crates/consensus/src/replica/ready.rs
+++ b/crates/consensus/src/replica/ready.rs
@@ -21,7 +21,7 @@
 }
 
 impl<D: ReplicaStorage> Replica<D> {
-    /// Proposes a command. The proposal may be lost; its author retries it.
+    /// Proposes a command, which [`Replica::flush`] then stores. The proposal may be lost; its author retries it.
     pub fn propose(&mut self, proposal: &Proposal) {
         let Ok(bytes) = postcard::to_stdvec(proposal) else { return };
         if !self.is_acknowledged() {
@@ -30,7 +30,6 @@
         if let Some(node) = &mut self.raft {
             // Without a leader the proposal is dropped, which is as good as lost.
             let _ = node.propose(Vec::new(), bytes);
-            self.process_ready();
         }
     }
 
@@ -44,7 +43,6 @@
             let mut context = self.persistent.id.to_be_bytes().to_vec();
             context.extend(number.to_be_bytes());
             node.read_index(context);
-            self.process_ready();
         }
     }
 
@@ -75,8 +73,9 @@
         }
     }
 
-    /// Carries out all that the raft crate has ready.
-    pub(super) fn process_ready(&mut self) {
+    /// Stores, sends and applies what all inputs since the last call have led to. Inputs that arrive together share one
+    /// write to the storage.
+    pub fn flush(&mut self) {
         while self.raft.as_ref().is_some_and(|node| node.has_ready()) {
             if !self.process_one_ready() {
                 return;
--- a/crates/consensus/tests/log.rs
+++ b/crates/consensus/tests/log.rs
@@ -28,3 +28,13 @@
     let read = RaftLog::read(&stored).expect("the storage is whole");
     assert_eq!(read.snapshot_state().0, LAST_INDEX);
 }
+
+// A commit index alone is learned again after a start, so it costs no write.
+#[test]
+fn a_commit_index_alone_is_not_stored_and_a_vote_is() {
+    let (mut log, _) = stored_log();
+    log.set_hard_state(&HardState { term: TERM, commit: LAST_INDEX, ..HardState::default() });
+    assert!(log.take_unsaved().is_empty());
+    log.set_hard_state(&HardState { term: TERM, commit: LAST_INDEX, vote: 1, ..HardState::default() });
+    assert!(!log.take_unsaved().is_empty());
+}
--- a/crates/consensus/tests/sim/processes.rs
+++ b/crates/consensus/tests/sim/processes.rs
@@ -147,7 +147,7 @@
     pub(super) fn carry_out_outputs(&mut self, rank: usize) {
         let instance = &mut self.instances[rank];
         let Some(node) = &mut instance.node else { return };
-        let outputs = node.take_outputs();
+        let outputs = node.take_outputs(instance.clock.monotonic(self.now));
         let sender = instance.id();
         for output in outputs {
             if self.is_traced && !matches!(output, Output::Send(..) | Output::SiteFraction(..)) {
--- a/crates/coordination/src/runtime/event_loop.rs
+++ b/crates/coordination/src/runtime/event_loop.rs
@@ -22,6 +22,8 @@
 
 /// Time between two ticks of the consensus node.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Most connection events that are taken before what they lead to is stored and sent.
+const MAX_EVENTS_PER_WRITE: usize = 128;
 /// Time between two checks of the window calendar.
 const CALENDAR_INTERVAL: Duration = Duration::from_secs(1);
 /// How far ahead recurring windows are planned.
@@ -100,6 +102,7 @@
                     if let Some(event) = event {
                         self.on_connection_event(event);
                     }
+                    self.on_waiting_events(&mut events);
                 }
                 request = requests.recv() => match request {
                     Some(request) => self.on_request(request),
@@ -156,6 +159,14 @@
         }
     }
 
+    /// Takes the events that have arrived by now, so that what they lead to is stored in one write.
+    fn on_waiting_events(&mut self, events: &mut UnboundedReceiver<ConnectionEvent>) {
+        for _ in 0..MAX_EVENTS_PER_WRITE {
+            let Ok(event) = events.try_recv() else { return };
+            self.on_connection_event(event);
+        }
+    }
+
     fn on_connection_event(&mut self, event: ConnectionEvent) {
         let now = self.now();
         match event {
@@ -224,7 +235,7 @@
     }
 
     fn process_outputs(&mut self) {
-        for output in self.node.take_outputs() {
+        for output in self.node.take_outputs(self.now()) {
             self.process_output(output);
         }
     }
