--- a/crates/coordination/src/settings/validation.rs
+++ b/crates/coordination/src/settings/validation.rs
@@ -234,9 +234,9 @@
     }
 
     fn pacing(&mut self, section: &FleetSection) -> ShiftPacing {
+        let ramp_duration = self.duration(section.way_back.as_ref(), "way_back", &RAMP_DURATION);
         let step = self.number(section.step.as_ref(), "step", &STEP);
         let interval = self.duration(section.step_wait.as_ref(), "step_wait", &STEP_INTERVAL);
-        let ramp_duration = self.duration(section.way_back.as_ref(), "way_back", &RAMP_DURATION);
         let reporting = self.number(section.heard.as_ref(), "heard", &REPORTING_RATIO);
         ShiftPacing {
             max_step: (step * PER_MILLE_PER_PERCENT) as TrafficFraction,
