A listener closes without resetting the connections that come up meanwhile

Cause: the system completes handshakes by itself, so a connection can enter the queue between the last accept and the close, and closing a listener resets its queue.

--- a/crates/http1/src/server/accept.rs
+++ b/crates/http1/src/server/accept.rs
@@ -3,7 +3,7 @@
 use super::client_connection::ClientConnection;
 use super::HttpServer;
 use hillstall_proxy_core::limits::Reservation;
-use hillstall_proxy_core::sockets::out_of_descriptors;
+use hillstall_proxy_core::sockets::{out_of_descriptors, stop_handshakes, HANDSHAKE_DURATION};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -42,8 +42,12 @@
     }
 
     /// Closes the listener, and admits the connections that still wait in its queue. They would be reset with the
-    /// listener, so nothing may run between the last `accept` and the close.
+    /// listener, so no further one may come up between the last `accept` and the close.
     async fn close_listener(self: &Rc<Self>, listener: TcpListener) {
+        // Where the system has no socket filters, a connection that comes up right before the close is reset.
+        if stop_handshakes(&listener).is_ok() {
+            sleep(HANDSHAKE_DURATION).await;
+        }
         let mut queued = Vec::new();
         if let Ok(listener) = listener.into_std() {
             while let Ok((stream, _)) = listener.accept() {
