Pipelined requests are all answered before a proxy that ends closes their connection

Callers saw: several requests sent at once to a proxy that drains or shuts down got one answer, with Connection: close; the others were lost.

Cause: while idle connections are being closed, every answer said Connection: close, whatever the client had already sent, and hyper drops what it has read behind such an answer.

Change: the framing of a connection counts the requests that have come whole. While more have come than were taken, or one has begun or is unread, the connection stays open and is closed behind the last.

--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -10,6 +10,7 @@
 mod operator_file;
 mod operator_settings;
 mod platform_file;
+mod shutdown;
 mod streams;
 use harness::*;
 use std::io::{BufReader, ErrorKind, Read, Write};
--- a/crates/http1/src/framing.rs
+++ b/crates/http1/src/framing.rs
@@ -35,6 +35,8 @@
     /// Whether the present head has a `Transfer-Encoding`.
     chunked: bool,
     ambiguous: bool,
+    /// How many requests have come whole.
+    completed: u64,
 }
 
 impl Default for RequestFraming {
@@ -46,6 +48,7 @@
             content_length: None,
             chunked: false,
             ambiguous: false,
+            completed: 0,
         }
     }
 }
@@ -61,6 +64,11 @@
         self.state == ParserState::Head && !self.head_started && self.line.is_empty()
     }
 
+    /// How many requests have come whole.
+    pub fn completed(&self) -> u64 {
+        self.completed
+    }
+
     /// Follows the bytes that were read.
     pub fn advance(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() && self.state != ParserState::Unparseable {
@@ -87,6 +95,7 @@
     ) -> &'a [u8] {
         let skipped = remaining.min(bytes.len() as u64);
         self.state = if skipped == remaining { at_end } else { before_end(remaining - skipped) };
+        self.completed += u64::from(self.state == ParserState::Head);
         &bytes[skipped as usize..]
     }
 
@@ -112,7 +121,10 @@
                 self.on_header_line(line);
             }
             ParserState::ChunkSize => self.on_chunk_size(line),
-            ParserState::Trailer if line.is_empty() => self.state = ParserState::Head,
+            ParserState::Trailer if line.is_empty() => {
+                self.state = ParserState::Head;
+                self.completed += 1;
+            }
             _ => {}
         }
     }
@@ -141,6 +153,7 @@
             (false, Some(length)) if length > 0 => ParserState::Body(length),
             _ => ParserState::Head,
         };
+        self.completed += u64::from(self.state == ParserState::Head);
     }
 
     fn on_chunk_size(&mut self, line: &[u8]) {
--- a/crates/http1/src/server/client_connection.rs
+++ b/crates/http1/src/server/client_connection.rs
@@ -28,6 +28,8 @@
     pub(super) request_in_progress: Cell<bool>,
     /// A valid request has come on this connection.
     pub(super) has_sent_valid_request: Cell<bool>,
+    /// How many requests were taken from it to be served.
+    pub(super) requests_taken: Cell<u64>,
     /// When it connected, or ended its last request.
     pub(super) last_used_at: Cell<Instant>,
     /// The last response, which may still wait to be written; released once it is seen to be written.
@@ -49,6 +51,7 @@
             stream: TrackedStream::for_client(stream, tuning),
             request_in_progress: Cell::new(false),
             has_sent_valid_request: Cell::new(false),
+            requests_taken: Cell::new(0),
             last_used_at: Cell::new(Instant::now()),
             last_response: RefCell::default(),
             streaming_body: RefCell::default(),
@@ -67,6 +70,13 @@
         is_between && self.close_mode.get() == CloseMode::Open && self.stream.is_quiet()
     }
 
+    /// Whether the client has sent more than the requests that were taken: a pipelined request, or part of one.
+    pub(super) fn has_waiting_request(&self) -> bool {
+        self.stream.completed_requests() > self.requests_taken.get()
+            || !self.stream.is_between_messages()
+            || self.stream.has_unread()
+    }
+
     /// Whether the client has taken too long to send a complete request: it sends nothing, its head does not end,
     /// or its body comes too slowly. Between two requests a connection that has been used may stay idle.
     pub(super) fn has_request_timed_out(&self, request_timeout: Duration) -> bool {
--- a/crates/http1/src/server/request.rs
+++ b/crates/http1/src/server/request.rs
@@ -78,12 +78,15 @@
         request: Request<Incoming>,
     ) -> ClientResponse {
         connection.last_response.take();
+        connection.requests_taken.set(connection.requests_taken.get() + 1);
         let result = self.respond(connection, request).await;
         let is_streaming = result.as_ref().is_ok_and(|response| response.body().busy_connection.is_some());
         let discards_body = !is_streaming && finish_request(connection);
-        // What follows an invalid request on its connection may be part of it, so nothing more is read there.
+        // What follows an invalid request on its connection may be part of it, so nothing more is read there. A pipelined
+        // request would be lost with its connection, so that is closed behind the last one.
+        let closes_idle = self.lifecycle.closes_idle(self.limits.tuning().drain_notice);
         let must_close =
-            result.is_err() || discards_body || self.lifecycle.closes_idle(self.limits.tuning().drain_notice);
+            result.is_err() || discards_body || (closes_idle && !connection.has_waiting_request());
         let mut response = result.unwrap_or_else(|error| text_response(error.status(), error.message()));
         if must_close {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -108,6 +108,11 @@
         self.framing.as_ref().is_none_or(|framing| framing.borrow().is_between_messages())
     }
 
+    /// How many requests of the peer have been read whole, where the peer is a client.
+    pub fn completed_requests(&self) -> u64 {
+        self.framing.as_ref().map_or(0, |framing| framing.borrow().completed())
+    }
+
     /// When the last bytes were read.
     pub fn last_read(&self) -> Instant {
         self.last_read.get()
