What arrives as a process ends is rejected or not read, and never forwarded

Cause: for up to 170 ms after the open requests are failed, the accept loop and the connections went on as before, and at exit the listener's queue was reset.

Change: the driver accepts no request any more once it has failed the open ones, so what is read is answered with 503.

--- a/crates/hillstall/tests/proxy/shutdown.rs
+++ b/crates/hillstall/tests/proxy/shutdown.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+/// The connections that go on opening until the process has ended.
+const CLIENTS: usize = 8;
 /// After this the proxy closes connections as they become idle.
 const CLOSES_IDLE_AFTER: Duration = Duration::from_millis(2_000);
 
@@ -13,6 +15,65 @@
     })
 }
 
+/// Requests on new connections, one after another, until none is accepted. Returns how many got an answer, and how many
+/// were written and got none.
+fn call_until_refused(address: std::net::SocketAddr, client: usize) -> (usize, usize) {
+    let (mut answered, mut lost) = (0, 0);
+    for number in 0.. {
+        let Ok(mut stream) = TcpStream::connect(address) else { break };
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let request = ask("read", &format!("c{client}-{number}"), 1_000, "");
+        if stream.write_all(request.as_bytes()).is_err() {
+            continue;
+        }
+        match super::harness::answer(&stream) {
+            Some(_) => answered += 1,
+            None => lost += 1,
+        }
+    }
+    (answered, lost)
+}
+
+// Guards against requests that are read after the open ones were failed, and lose their answer as the process ends.
+#[test]
+fn what_arrives_on_new_connections_until_the_process_ends_gets_an_answer() {
+    let backend = first_hangs();
+    let (mut proxy, _discovery) = before(&[&backend]);
+    let held = open(proxy.address, &ask("read", "held", 20_000, ""));
+    until("the first request hangs", || backend.seen() == 1);
+    proxy.terminate();
+    let address = proxy.address;
+    let clients: Vec<_> =
+        (0..CLIENTS).map(|client| thread::spawn(move || call_until_refused(address, client))).collect();
+    let ended: Vec<(usize, usize)> = clients.into_iter().map(|c| c.join().expect("it ends")).collect();
+    assert!(proxy.wait().success());
+    let (answered, lost) = ended.iter().fold((0, 0), |sum, client| (sum.0 + client.0, sum.1 + client.1));
+    assert!(answered > CLIENTS, "{answered} answers");
+    assert_eq!(lost, 0, "of {} requests", answered + lost);
+    assert_eq!(super::harness::answer(&held).expect("an answer").status(), 502);
+}
+
+// Guards against the same on connections that were kept: a request that crosses their close is not read, and everything
+// that is read is answered.
+#[test]
+fn what_arrives_on_a_kept_connection_until_the_process_ends_is_answered_or_not_read() {
+    let backend = first_hangs();
+    let (mut proxy, _discovery) = before(&[&backend]);
+    let _held = open(proxy.address, &ask("read", "held", 20_000, ""));
+    until("the first request hangs", || backend.seen() == 1);
+    proxy.terminate();
+    let mut kept = open(proxy.address, &ask("read", "k0", 1_000, ""));
+    // Requests follow each other without a rest, so the connection is never idle.
+    for number in 1.. {
+        let answer = super::harness::answer(&kept).expect("each request gets its answer");
+        if answer.header("connection") == Some("close") {
+            break;
+        }
+        kept.write_all(ask("read", &format!("k{number}"), 1_000, "").as_bytes()).expect("it is open");
+    }
+    assert!(proxy.wait().success());
+}
+
 // Guards against pipelined requests that are lost when their connection is closed behind the first answer.
 #[test]
 fn pipelined_requests_are_all_answered_during_a_shutdown() {
--- a/crates/http1/src/server/accept.rs
+++ b/crates/http1/src/server/accept.rs
@@ -18,14 +18,14 @@
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(1);
 
 impl HttpServer {
-    /// Accepts connections until a newer process has the address to itself. Without a newer process it goes on
-    /// during shutdown: the connections in the kernel's queue count as accepted.
+    /// Accepts connections until a newer process has the address to itself, or this one is about to end: until then
+    /// the connections in the kernel's queue count as accepted.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             let accepted = tokio::select! {
                 biased;
-                accepted = listener.accept() => accepted,
                 () = self.stop_accepting.notified() => break,
+                accepted = listener.accept() => accepted,
             };
             match accepted {
                 Ok((stream, _)) => self.admit(stream).await,
@@ -39,6 +39,7 @@
             }
         }
         self.close_listener(listener).await;
+        self.listener_closed.set(true);
     }
 
     /// Closes the listener, and admits the connections that still wait in its queue. They would be reset with the
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -46,8 +46,10 @@
     has_known_backends: bool,
     lifecycle: Rc<Lifecycle>,
     metrics: Rc<Metrics>,
-    /// Makes the accept loop leave the address to another process.
+    /// Makes the accept loop close the listener.
     stop_accepting: Notify,
+    /// Whether the accept loop has closed the listener, and admitted what waited there.
+    listener_closed: Cell<bool>,
 }
 
 impl HttpServer {
@@ -77,6 +79,7 @@
             lifecycle,
             metrics,
             stop_accepting: Notify::new(),
+            listener_closed: Cell::new(false),
         })
     }
 
--- a/crates/proxy-core/src/driver/mod.rs
+++ b/crates/proxy-core/src/driver/mod.rs
@@ -66,6 +66,8 @@
     must_subscribe: bool,
     max_attempts: u32,
     max_open_requests: usize,
+    /// Whether this process is about to end: no request is accepted any more.
+    is_closed: Cell<bool>,
     /// Whether health checks ask for the load report.
     probe_load_report: bool,
     /// The index of the CPU fraction in a load report, if there is one.
@@ -112,6 +114,7 @@
             discovery_address: Cell::new(config.discovery_address),
             must_subscribe: settings.must_subscribe,
             max_attempts: settings.permissions.max_attempts.min(u32::from(u8::MAX)),
+            is_closed: Cell::new(false),
             max_open_requests: config.max_open_requests.min(settings.permissions.max_open as usize),
             probe_load_report: settings.report_via == ReportVia::Probe,
             cpu_report_index: settings.report.iter().position(|field| *field == ReportField::Cpu),
@@ -171,11 +174,11 @@
         ClusterSize { size, unhealthy }
     }
 
-    /// Accepts a request; `None` if this proxy has its maximum of open requests. The completion arrives exactly
+    /// Accepts a request; `None` if this proxy has its maximum of open requests, or is about to end. The completion arrives exactly
     /// once, if the guard is kept until then; dropping it earlier says that the client has disconnected.
     pub fn request(&self, metadata: RequestMetadata, payload: C::Request) -> Option<AcceptedRequest<C>> {
         let state = &mut *self.state.borrow_mut();
-        if state.requests.len() >= self.max_open_requests {
+        if self.is_closed.get() || state.requests.len() >= self.max_open_requests {
             return None;
         }
         let (responder, completion) = oneshot::channel();
@@ -211,8 +214,9 @@
         state.requests.remove_if_finished(id);
     }
 
-    /// Fails all open requests, as the process is about to end.
+    /// Fails all open requests and accepts no more, as the process is about to end.
     pub fn close_all(&self) {
+        self.is_closed.set(true);
         let ids = self.state.borrow().requests.ids();
         for id in ids {
             self.close(id);
