A connection with a request read ahead is not idle

Callers saw: several requests sent at once, the first of which hangs to the end of a shutdown, lost one of the others now and then.

Cause: between the answer of one pipelined request and the turn of the next, which hyper has read already, the connection counted as idle, and closing idle connections dropped what was read ahead.

Change: a connection is idle only if no whole request was read that was not taken, and a close that was asked for while it was idle is taken back if a request has come by the time it is carried out.

--- a/crates/hillstall/tests/proxy/shutdown.rs
+++ b/crates/hillstall/tests/proxy/shutdown.rs
@@ -4,6 +4,10 @@
 
 /// The connections that go on opening until the process has ended.
 const CLIENTS: usize = 8;
+/// The requests that are sent at once.
+const BATCH: usize = 4;
+/// The same, so many that they take a while to answer.
+const LONG_BATCH: usize = 60;
 /// After this the proxy closes connections as they become idle.
 const CLOSES_IDLE_AFTER: Duration = Duration::from_millis(2_000);
 
@@ -83,10 +87,33 @@
     until("the first request hangs", || backend.seen() == 1);
     proxy.terminate();
     thread::sleep(CLOSES_IDLE_AFTER);
-    let requests: String = (0..4).map(|number| ask("read", &format!("p{number}"), 1_000, "")).collect();
+    let requests: String = (0..BATCH).map(|number| ask("read", &format!("p{number}"), 1_000, "")).collect();
     let stream = open(proxy.address, &requests);
     let mut reader = BufReader::new(stream);
     let answers = std::iter::from_fn(|| Message::read(&mut reader)).count();
-    assert_eq!(answers, 4);
+    assert_eq!(answers, BATCH);
+    assert!(proxy.wait().success());
+}
+
+// Guards against a connection that counts as idle between two pipelined requests, and is closed with the second unread.
+#[test]
+fn pipelined_requests_behind_one_that_hangs_to_the_end_are_answered() {
+    let backend = Backend::start(|_, _| {
+        thread::sleep(PATIENCE);
+        false
+    });
+    let (mut proxy, _discovery) = before(&[&backend]);
+    let batch = |client: usize| -> String {
+        (0..LONG_BATCH).map(|number| ask("once", &format!("h{client}-{number}"), 20_000, "")).collect()
+    };
+    let streams: Vec<TcpStream> = (0..CLIENTS).map(|client| open(proxy.address, &batch(client))).collect();
+    until("a request of each client hangs", || backend.seen() == CLIENTS);
+    proxy.terminate();
+    for stream in streams {
+        let mut reader = BufReader::new(stream);
+        let statuses: Vec<u16> =
+            std::iter::from_fn(|| Message::read(&mut reader)).map(|answer| answer.status()).collect();
+        assert_eq!(statuses.len(), LONG_BATCH, "answers of one connection");
+    }
     assert!(proxy.wait().success());
 }
--- a/crates/http1/src/server/client_connection.rs
+++ b/crates/http1/src/server/client_connection.rs
@@ -66,15 +66,19 @@
     pub(super) fn is_idle(&self) -> bool {
         let is_between = !self.request_in_progress.get()
             && self.stream.message_started_at().is_none()
+            && !self.has_read_ahead()
             && !self.stream.is_write_blocked();
         is_between && self.close_mode.get() == CloseMode::Open && self.stream.is_quiet()
     }
 
     /// Whether the client has sent more than the requests that were taken: a pipelined request, or part of one.
     pub(super) fn has_waiting_request(&self) -> bool {
+        self.has_read_ahead() || !self.stream.is_between_messages() || self.stream.has_unread()
+    }
+
+    /// Whether a whole request was read that was not taken yet: a pipelined one, between the answer before it and its turn.
+    fn has_read_ahead(&self) -> bool {
         self.stream.completed_requests() > self.requests_taken.get()
-            || !self.stream.is_between_messages()
-            || self.stream.has_unread()
     }
 
     /// Whether the client has taken too long to send a complete request: it sends nothing, its head does not end,
@@ -101,6 +105,7 @@
     pub(super) fn can_park(&self, min_idle: Duration) -> bool {
         let is_between = !self.request_in_progress.get()
             && self.stream.message_started_at().is_none()
+            && !self.has_read_ahead()
             && self.stream.is_between_messages();
         is_between
             && !self.stream.is_write_blocked()
--- a/crates/http1/src/server/connection_task.rs
+++ b/crates/http1/src/server/connection_task.rs
@@ -58,6 +58,10 @@
                     CloseMode::Immediate if !connection.request_in_progress.get() => {
                         return ConnectionState::Closed;
                     }
+                    // It is no longer idle: hyper would drop what it has read behind the request in progress.
+                    CloseMode::Graceful if connection.has_waiting_request() => {
+                        connection.close_mode.set(CloseMode::Open);
+                    }
                     _ => http.as_mut().graceful_shutdown(),
                 },
                 // A graceful shutdown would wait for ever for a head that never ends. If the head did end
