--- a/crates/hillstall/tests/coordination/windows.rs
+++ b/crates/hillstall/tests/coordination/windows.rs
@@ -92,11 +92,8 @@
     let rate = |from: f64, to: f64| attempts_at(&run, &servers, from, to) as f64 / (to - from) * 1e3;
     let (baseline, during) = (rate(1_000.0, shift), rate(running, back));
     println!(
-        "{:.2} of the baseline in the two seconds after the window",
-        rate(done, done + 2_000.0) / baseline
-    );
-    println!(
-        "baseline {baseline:.0} requests/s, {during:.2} during the window; shift {:.0} ms, back within {:.0} ms; service {:.1}",
+        "baseline {baseline:.0} requests/s, {during:.2} during the window, {:.2} of it after; shift {:.0} ms, back within {:.0} ms; service {:.1}",
+        rate(done, done + 2_000.0) / baseline,
         running - shift,
         done - back,
         service(&run.played)
