A fleet of one replica elects it

Cause: a replica with a new storage bootstraps its fleet when it takes an announcement or an acknowledgement of another one, and a single replica receives neither.

Change: a replica that is the only one tries to bootstrap when it announces itself. Larger fleets take the path they took.

Evidence: the new test failed before (it leads nothing after ten seconds) and passes now, as do the other tests of the package. The replicas of the two tests with frames that arrive at once share one module.

--- a/crates/consensus/src/replica/membership.rs
+++ b/crates/consensus/src/replica/membership.rs
@@ -52,6 +52,10 @@
         if !takes_part && is_due {
             self.announced_at = Some(now);
             self.announce();
+            // Nobody else's announcement will ever start a fleet of one.
+            if self.slots == 1 {
+                self.bootstrap_or_join(now);
+            }
         }
     }
 
--- a/crates/consensus/tests/handover.rs
+++ b/crates/consensus/tests/handover.rs
@@ -1,123 +1,18 @@
 //! What the handover of leases costs: ticks and writes to storage, which take as long as the machine is busy.
 
-use hillstall_change_freeze::detection::Thresholds;
-use hillstall_consensus::node::{Destination, Node, NodeConfig, Output};
-use hillstall_consensus::replica::new_id;
-use hillstall_consensus::storage::{PersistentState, ReplicaStorage, ReplicaStorageError, WriteBatch};
-use hillstall_lease::timing::LeaseTiming;
-use hillstall_lease::{Instance, LeaseName, Millis};
-use hillstall_maintenance::shift::ShiftPacing;
-use std::cell::Cell;
-use std::rc::Rc;
+mod instant_fleet;
+
+use instant_fleet::Fleet;
 
 const REPLICAS: usize = 3;
-const TICK_INTERVAL_MS: Millis = 20;
-/// Far more than a fleet needs to elect a leader and to grant all leases.
-const SETTLE_MS: Millis = 10_000;
 /// The writes of one replica in a handover of all its leases: what is released, and what each of the two others renews.
 const MAX_WRITES: usize = 3;
 
-/// A storage that counts its writes.
-struct CountingStorage {
-    slot: usize,
-    stored: PersistentState,
-    writes: Rc<Cell<usize>>,
-}
-
-impl ReplicaStorage for CountingStorage {
-    fn load(&mut self) -> Result<PersistentState, ReplicaStorageError> {
-        self.stored.id = new_id(self.slot, 7);
-        Ok(self.stored.clone())
-    }
-
-    fn save(&mut self, batch: WriteBatch) -> Result<(), ReplicaStorageError> {
-        self.writes.set(self.writes.get() + 1);
-        batch.apply(&mut self.stored);
-        Ok(())
-    }
-
-    fn reset(&mut self) -> Result<PersistentState, ReplicaStorageError> {
-        Err(ReplicaStorageError("nothing here is reset".into()))
-    }
-}
-
-/// Three replicas whose frames arrive at once.
-struct Fleet {
-    nodes: Vec<Node<CountingStorage>>,
-    writes: Vec<Rc<Cell<usize>>>,
-    now: Millis,
-}
-
-impl Fleet {
-    fn settled() -> Fleet {
-        let writes: Vec<Rc<Cell<usize>>> = (0..REPLICAS).map(|_| Rc::default()).collect();
-        let start = |slot: usize| {
-            let storage =
-                CountingStorage { slot, stored: PersistentState::default(), writes: writes[slot].clone() };
-            Node::start(config(slot), Some(storage), 0)
-        };
-        let nodes = (0..REPLICAS).map(start).collect();
-        let mut fleet = Fleet { nodes, writes, now: 0 };
-        fleet.settle();
-        fleet
-    }
-
-    fn settle(&mut self) {
-        let end = self.now + SETTLE_MS;
-        while self.now < end {
-            self.now += TICK_INTERVAL_MS;
-            for node in &mut self.nodes {
-                node.tick(self.now, self.now);
-            }
-            self.deliver();
-        }
-    }
-
-    /// Delivers frames until none is left; no time passes.
-    fn deliver(&mut self) {
-        loop {
-            let mut frames = Vec::new();
-            for (from, node) in self.nodes.iter_mut().enumerate() {
-                for output in node.take_outputs(self.now) {
-                    if let Output::Send(Destination::Replica(to), frame) = output {
-                        frames.push((from, to, frame));
-                    }
-                }
-            }
-            if frames.is_empty() {
-                return;
-            }
-            for (from, to, frame) in frames {
-                self.nodes[to].on_replica_frame(self.now, from, frame);
-            }
-        }
-    }
-
-    fn held_by(&self, slot: usize) -> Vec<LeaseName> {
-        self.nodes[slot].held_leases(self.now).into_iter().map(|(lease, _)| lease).collect()
-    }
-}
-
-fn config(slot: usize) -> NodeConfig {
-    NodeConfig {
-        instance: Instance { rank: slot as u32, incarnation: 1 },
-        slot: Some(slot),
-        replicas: REPLICAS,
-        site: ["north", "south", "west"][slot].into(),
-        sites: ["north", "south", "west"].map(String::from).into(),
-        lease_timing: LeaseTiming::default(),
-        pacing: ShiftPacing::default(),
-        thresholds: Thresholds::default(),
-        command_ttl: 4_000,
-        seed: slot as u64 + 1,
-    }
-}
-
 // Guards against a gap without a lease holder that grows with the number of leases, or waits for a tick or a disk.
 #[test]
 fn a_handover_of_all_leases_takes_no_tick_and_three_writes() {
     for slot in 0..REPLICAS {
-        let mut fleet = Fleet::settled();
+        let mut fleet = Fleet::settled(REPLICAS);
         // Whoever holds nothing after the start gets its leases from the others.
         for other in (0..REPLICAS).filter(|other| *other != slot) {
             for lease in fleet.held_by(other) {
@@ -148,3 +43,13 @@
         }
     }
 }
+
+// Guards against a fleet of one replica that waits for ever for the announcement of another.
+#[test]
+fn a_fleet_of_one_replica_elects_it_and_grants_it_all_leases() {
+    let fleet = Fleet::settled(1);
+    let replica = fleet.nodes[0].replica().expect("it is a replica");
+    assert!(replica.is_leader());
+    assert!(fleet.nodes[0].accepts_commands());
+    assert_eq!(fleet.held_by(0).len(), 4, "the coordinator's lease and one of each site");
+}
