--- a/crates/fault-injection/src/faults.rs
+++ b/crates/fault-injection/src/faults.rs
@@ -4,6 +4,7 @@
 use crate::discovery_server::{unix_ms, BackendStarted};
 use crate::fleet::{Fleet, FleetError, LinkEnds};
 use crate::history::LinkCut as CutSeen;
+use crate::platform_rules::earliest_kill_ms;
 use crate::process_supervisor::ProcessSignal;
 use crate::tcp_proxy::Fault;
 use hillstall_decision::BackendState;
@@ -17,8 +18,6 @@
 
 /// Restart time of a drained backend, in milliseconds.
 const RESTART_MS: f64 = 500.0;
-/// A proxy is killed this long after SIGTERM and the longest deadline, in milliseconds.
-const KILL_MS: f64 = 700.0;
 
 /// Injects the failures of a fleet's scenario.
 pub struct Faults {
@@ -294,7 +293,7 @@
     async fn restart(self: Rc<Faults>, front: usize) {
         self.record_error(self.fleet.signal(front, ProcessSignal::Term));
         let deadline = self.fleet.figures.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-        let until = self.fleet.history.now() + deadline + KILL_MS;
+        let until = self.fleet.history.now() + earliest_kill_ms(deadline);
         while self.fleet.processes[front].runs.get() {
             if self.fleet.history.now() > until {
                 self.record_error(self.fleet.signal(front, ProcessSignal::Kill));
--- a/crates/fault-injection/src/invariant_checker.rs
+++ b/crates/fault-injection/src/invariant_checker.rs
@@ -4,6 +4,7 @@
 use crate::history::{
     BackendAttempt, BackendResult, ClientAttempt, ClientResult, HostStall, Observations, ProcessEvent,
 };
+use crate::platform_rules::SHUTDOWN_GRACE_MS;
 use hillstall_decision::{BackendState, RetrySafety, Settings};
 use hillstall_simulation::model::slow_start::SlowStartModel;
 use std::collections::BTreeMap;
@@ -13,8 +14,6 @@
 const TOLERANCE_MS: f64 = 50.0;
 /// A signal or link fault this close to an event may be its cause, in milliseconds.
 const CAUSE_WINDOW_MS: f64 = 150.0;
-/// A request this long after SIGTERM needs no response, in milliseconds.
-const SHUTDOWN_GRACE_MS: f64 = 700.0;
 /// A longer stall makes a run void, in milliseconds.
 const MAX_STALL_MS: f64 = 250.0;
 /// A larger part of late client requests makes a run void;
@@ -72,6 +71,24 @@
     pub id: Option<String>,
 }
 
+/// Why a request without an answer is no violation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Excuse {
+    /// Its proxy was killed or stopped, or the link to it was faulty.
+    ProxyOrLinkGone,
+    /// The harness or the proxy got no processor time.
+    NoProcessorTime,
+}
+
+impl Excuse {
+    fn name(self) -> &'static str {
+        match self {
+            Excuse::ProxyOrLinkGone => "its proxy or the link to it was gone",
+            Excuse::NoProcessorTime => "there was no processor time",
+        }
+    }
+}
+
 /// True parameters of a backend.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -165,6 +182,16 @@
     (long > MAX_STALL_MS).then(|| format!("{who} got no processor time for {long:.0} ms"))
 }
 
+/// How many requests without an answer were excused, by the reason.
+pub fn excuses(truth: &GroundTruth, seen: &Observations) -> BTreeMap<Excuse, usize> {
+    let checker = Checker::new(truth, seen);
+    let written = seen.tries.iter().filter_map(|a_try| Some((a_try, a_try.written_at?)));
+    let excuses = written.filter_map(|(a_try, written)| checker.excuse(a_try, written));
+    let mut counts = BTreeMap::new();
+    excuses.for_each(|excuse| *counts.entry(excuse).or_default() += 1);
+    counts
+}
+
 /// The largest load on a backend in slow start over what it bears; above 1 it is overloaded.
 pub fn overshoot(truth: &GroundTruth, seen: &Observations) -> f64 {
     Checker::new(truth, seen).overshoots().into_iter().map(|(_, part, _)| part).fold(0.0, f64::max)
@@ -192,15 +219,19 @@
         }
     }
 
-    /// Whether a proxy and the clients' link to it were healthy for a whole time span.
+    /// Whether a proxy and the clients' link to it were healthy from when a request was written to when it ended. The
+    /// kill at the end of a planned restart excuses only what came before SIGTERM or within a grace after it.
     fn was_healthy(&self, process: usize, from: f64, to: f64) -> bool {
         let mut well = true;
+        let mut asked_at = None;
         for life in
             self.observations.lives.iter().filter(|l| l.process == process && l.at < to + CAUSE_WINDOW_MS)
         {
             match life.what {
-                // One that shuts down still has to answer what it has accepted, until it is killed.
-                ProcessEvent::Started | ProcessEvent::Asked => {}
+                ProcessEvent::Started => asked_at = None,
+                // One that shuts down still has to answer what it has accepted. A second SIGTERM changes nothing.
+                ProcessEvent::Asked => asked_at = asked_at.or(Some(life.at)),
+                ProcessEvent::Killed if asked_at.is_some_and(|at| from - at > SHUTDOWN_GRACE_MS) => {}
                 ProcessEvent::Up | ProcessEvent::Went => {
                     // What arrived while it was stopped is late through no fault of its own.
                     if !well && life.at + CAUSE_WINDOW_MS > from {
@@ -226,47 +257,55 @@
         self.observations.stood.iter().filter(meant).any(|stood| stood.from < to && stood.to > from)
     }
 
-    /// Whether a request arrived so long after its proxy's SIGTERM that it needs no response.
-    fn arrived_during_shutdown(&self, process: usize, at: f64) -> bool {
-        let mut asked = None;
-        for life in self.observations.lives.iter().filter(|l| l.process == process && l.at < at) {
-            match life.what {
-                ProcessEvent::Asked => asked = Some(life.at),
-                ProcessEvent::Up => asked = None,
-                _ => {}
-            }
-        }
-        asked.is_some_and(|asked| at - asked > SHUTDOWN_GRACE_MS)
-    }
-
     fn check_responses(&self, broken: &mut Vec<Violation>) {
         for a_try in &self.observations.tries {
-            let Some(written) = a_try.written_at else { continue };
-            let how = match &a_try.ended {
-                ClientResult::Wrong(how) => how.clone(),
-                ClientResult::Served => {
-                    // Some backend must have made it, for this request.
-                    let served = |h: &&BackendAttempt| h.done == BackendResult::Served;
-                    match self.hops.get(a_try.id.as_str()).is_some_and(|hops| hops.iter().any(served)) {
-                        true => continue,
-                        false => "served with something that no server made for it".to_string(),
-                    }
-                }
-                ClientResult::Broken => "its connection ended without an answer".to_string(),
-                ClientResult::Unanswered => format!("no answer within {:.0} ms", a_try.ended_at - written),
-                _ => continue,
+            let how = match a_try.written_at {
+                Some(written) => self.response_fault(a_try, written),
+                None => self.unread_fault(a_try),
             };
-            let wrong = matches!(a_try.ended, ClientResult::Wrong(_) | ClientResult::Served);
-            let owed = self.was_healthy(a_try.process, written, a_try.ended_at)
-                && !self.arrived_during_shutdown(a_try.process, written)
-                && !(a_try.ended == ClientResult::Unanswered
-                    && self.was_starved(a_try.process, written, a_try.ended_at));
-            if wrong || owed {
+            let excuse = a_try.written_at.and_then(|written| self.excuse(a_try, written));
+            if let Some(how) = how.filter(|_| excuse.is_none()) {
                 broken.push(Violation { rule: Rule::OneAnswer, how, id: Some(a_try.id.clone()) });
             }
         }
     }
 
+    /// What is wrong with the end of a request that was written, if anything.
+    fn response_fault(&self, a_try: &ClientAttempt, written: f64) -> Option<String> {
+        match &a_try.ended {
+            ClientResult::Wrong(how) => Some(how.clone()),
+            ClientResult::Served => {
+                // Some backend must have made it, for this request.
+                let served = |h: &&BackendAttempt| h.done == BackendResult::Served;
+                let is_made = self.hops.get(a_try.id.as_str()).is_some_and(|hops| hops.iter().any(served));
+                (!is_made).then(|| "served with something that no server made for it".to_string())
+            }
+            ClientResult::Broken => Some("its connection ended without an answer".to_string()),
+            ClientResult::Unanswered => Some(format!("no answer within {:.0} ms", a_try.ended_at - written)),
+            _ => None,
+        }
+    }
+
+    /// Why a request without an answer is owed none, if it isn't. A wrong answer has no excuse.
+    fn excuse(&self, a_try: &ClientAttempt, written: f64) -> Option<Excuse> {
+        if !matches!(a_try.ended, ClientResult::Broken | ClientResult::Unanswered) {
+            return None;
+        }
+        if !self.was_healthy(a_try.process, written, a_try.ended_at) {
+            return Some(Excuse::ProxyOrLinkGone);
+        }
+        let was_late = a_try.ended == ClientResult::Unanswered
+            && self.was_starved(a_try.process, written, a_try.ended_at);
+        was_late.then_some(Excuse::NoProcessorTime)
+    }
+
+    /// What is wrong with a request that was not read, as far as its client could see: it was forwarded all the same.
+    fn unread_fault(&self, a_try: &ClientAttempt) -> Option<String> {
+        let was_forwarded = self.hops.contains_key(a_try.id.as_str());
+        (a_try.ended == ClientResult::NotTaken && was_forwarded)
+            .then(|| "forwarded, and its connection ended without an answer".to_string())
+    }
+
     fn check_retries(&self, broken: &mut Vec<Violation>) {
         let settings = &self.truth.settings;
         for (id, hops) in &self.hops {
@@ -383,8 +422,17 @@
     text
 }
 
-/// The verdict as text: each violated rule with its count, and the first few violations with their records.
+/// The verdict as text: each violated rule with its count, the first few violations with their records, and how many
+/// requests without an answer were excused.
 pub fn tell(truth: &GroundTruth, seen: &Observations, verdict: &Verdict) -> String {
+    let mut text = tell_verdict(truth, seen, verdict);
+    for (excuse, count) in excuses(truth, seen) {
+        let _ = writeln!(text, "  {count} without an answer are excused: {}", excuse.name());
+    }
+    text
+}
+
+fn tell_verdict(truth: &GroundTruth, seen: &Observations, verdict: &Verdict) -> String {
     match verdict {
         Verdict::Kept => "rules kept\n".to_string(),
         Verdict::Void(why) => format!("void: the rig was late: {why}\n"),
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -15,10 +15,12 @@
 pub mod invariant_checker;
 pub mod open_loop_clients;
 pub mod platform;
+pub mod platform_rules;
 pub mod process_supervisor;
 pub mod reserved_port;
 pub mod run;
 pub mod server;
+pub mod soak;
 pub mod tcp_proxy;
 pub mod udp_proxy;
 
--- a/crates/fault-injection/src/server.rs
+++ b/crates/fault-injection/src/server.rs
@@ -473,7 +473,7 @@
 }
 
 /// A request that crosses the closing of an idle connection fails within this time, in milliseconds.
-const CROSSED_MS: f64 = 20.0;
+pub(crate) const CROSSED_MS: f64 = 20.0;
 
 /// How an attempt at a proxy ended, its Retry-After in milliseconds, and the connection if it can be reused.
 pub(crate) type AttemptOutcome = (ClientResult, Option<f64>, Option<Wire>);
@@ -523,23 +523,34 @@
             }
         };
         let wait = message.header("retry-after").and_then(|t| t.parse::<f64>().ok()).map(|s| s * 1e3);
-        let ended = match message.status {
-            _ if wire.has_more() => ClientResult::Wrong("more than one answer".into()),
-            200 => {
-                let body = String::from_utf8_lossy(&message.body).into_owned();
-                match body.split_once(' ') {
-                    Some((id, _)) if id == call.id => ClientResult::Served,
-                    _ => ClientResult::Wrong(format!("an answer to another request: {body}")),
-                }
-            }
-            429 | 503 => ClientResult::Refused,
-            other => ClientResult::Failed(other),
+        let ended = match wire.has_more() {
+            true => ClientResult::Wrong("more than one answer".into()),
+            false => result_of(&message, call.id),
         };
-        let close = message.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
-        return (ended, wait, Some(wire).filter(|_| !close));
+        return (ended, wait, Some(wire).filter(|_| !closes(&message)));
     }
 }
 
+/// How a request ended that got this answer.
+pub(crate) fn result_of(answer: &Message, id: &str) -> ClientResult {
+    match answer.status {
+        200 => {
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            match body.split_once(' ') {
+                Some((served, _)) if served == id => ClientResult::Served,
+                _ => ClientResult::Wrong(format!("an answer to another request: {body}")),
+            }
+        }
+        429 | 503 => ClientResult::Refused,
+        other => ClientResult::Failed(other),
+    }
+}
+
+/// Whether a connection is closed behind an answer.
+pub(crate) fn closes(answer: &Message) -> bool {
+    answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+}
+
 /// An attempt in the record; when dropped without an end, its client has left.
 pub(crate) struct RecordedAttempt {
     history: Rc<History>,
@@ -562,7 +573,7 @@
         self.history.note(|seen| seen.tries[self.index].written_at = at);
     }
 
-    fn since_written(&self) -> f64 {
+    pub(crate) fn since_written(&self) -> f64 {
         let written = self.history.note(|seen| seen.tries[self.index].written_at);
         self.history.now() - written.unwrap_or(f64::MIN)
     }
--- a/crates/fault-injection/tests/referee.rs
+++ b/crates/fault-injection/tests/referee.rs
@@ -93,18 +93,44 @@
             broken(&Observations { tries: tries.clone(), cuts: vec![cut], ..Observations::default() }),
             []
         );
-        // One that ends in order owes what it has taken, and not what comes long after it was asked to end.
-        let asked = |at| Observations {
+    }
+    // Served with something that no server made.
+    let seen = Observations {
+        tries: vec![a_try("c1-0", BROWSE, 1_100.0, ClientResult::Served)],
+        ..Observations::default()
+    };
+    assert_eq!(broken(&seen), [Rule::OneAnswer]);
+}
+
+#[test]
+fn a_proxy_that_ends_in_order_owes_all_that_it_has_taken() {
+    for ended in [ClientResult::Broken, ClientResult::Unanswered] {
+        let tries = vec![a_try("c1-0", BROWSE, 1_700.0, ended)];
+        let asked = |at, more: &[ProcessLifetime]| Observations {
             tries: tries.clone(),
-            lives: vec![life(at, ProcessEvent::Asked)],
+            lives: [&[life(at, ProcessEvent::Asked)], more].concat(),
             ..Observations::default()
         };
-        assert_eq!(broken(&asked(900.0)), [Rule::OneAnswer]);
-        assert_eq!(broken(&asked(200.0)), []);
+        for at in [900.0, 200.0] {
+            assert_eq!(broken(&asked(at, &[])), [Rule::OneAnswer]);
+            let ended = [life(1_500.0, ProcessEvent::Ended(Some(0)))];
+            assert_eq!(broken(&asked(at, &ended)), [Rule::OneAnswer]);
+        }
+        // The kill at the end excuses what came up to 0.7 s after SIGTERM, and nothing later, however often that came.
+        let killed = life(1_500.0, ProcessEvent::Killed);
+        assert_eq!(broken(&asked(301.0, &[killed])), []);
+        assert_eq!(broken(&asked(299.0, &[killed])), [Rule::OneAnswer]);
+        assert_eq!(broken(&asked(299.0, &[life(900.0, ProcessEvent::Asked), killed])), [Rule::OneAnswer]);
     }
-    // Served with something that no server made.
+}
+
+#[test]
+fn what_was_forwarded_is_owed_though_its_client_takes_it_for_unread() {
+    let unread = ClientAttempt { written_at: None, ..a_try("c1-0", BROWSE, 1_100.0, ClientResult::NotTaken) };
+    assert_eq!(broken(&Observations { tries: vec![unread.clone()], ..Observations::default() }), []);
     let seen = Observations {
-        tries: vec![a_try("c1-0", BROWSE, 1_100.0, ClientResult::Served)],
+        tries: vec![unread],
+        hops: vec![hop("c1-0", 0, 1_010.0, BackendResult::Served)],
         ..Observations::default()
     };
     assert_eq!(broken(&seen), [Rule::OneAnswer]);
--- a/crates/hillstall/src/fault_injection.rs
+++ b/crates/hillstall/src/fault_injection.rs
@@ -2,6 +2,7 @@
 
 use crate::output::{print, write_json_lines, FileError};
 use hillstall_fault_injection::invariant_checker::{overshoot, Verdict};
+use hillstall_fault_injection::soak::{self, SoakPlan, SoakSummary};
 use hillstall_fault_injection::{Options, ScenarioRun};
 use hillstall_simulation::experiment::{self, Mean};
 use hillstall_simulation::policy::PolicyName;
@@ -12,6 +13,9 @@
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
 
+/// The name of the soak of shutdowns in errors.
+const SOAK: &str = "soak";
+
 /// How to run a scenario, and what to write.
 pub struct RunOptions {
     /// Where the configurations and logs of the processes stay.
@@ -82,6 +86,37 @@
     }
 }
 
+/// Runs the soak of shutdowns with each seed, and prints how many passed. Broken invariants and a late rig are errors, once
+/// all seeds have run.
+pub fn soak_shutdowns(
+    seeds: &[u64],
+    program: Option<PathBuf>,
+    output_folder: Option<&Path>,
+) -> Result<(), FaultInjectionError> {
+    let program = program.map_or_else(std::env::current_exe, Ok).map_err(FaultInjectionError::OwnPath)?;
+    let (mut passed, mut void, mut failed_seeds) = (0, 0, Vec::new());
+    for seed in seeds {
+        let keep = output_folder.map(|folder| folder.join(format!("seed-{seed}")));
+        let run = soak::run(&program, *seed, keep, None)
+            .map_err(|error| FaultInjectionError::Run { scenario: SOAK.into(), source: error.into() })?;
+        match run.verdict {
+            Verdict::Kept => passed += 1,
+            Verdict::Void(_) => void += 1,
+            Verdict::Broken(_) => print(&format!("{:?}\n", SoakPlan::draw(*seed))),
+        }
+        print(&format!("seed {seed}: {}  {}\n", run.told(), SoakSummary::of(&run)));
+        if !matches!(run.verdict, Verdict::Kept) {
+            failed_seeds.push(seed.to_string());
+        }
+    }
+    let failed = seeds.len() - passed - void;
+    print(&format!("{} seeds: {passed} passed, {failed} failed, {void} void\n", seeds.len()));
+    match failed_seeds.is_empty() {
+        true => Ok(()),
+        false => Err(FaultInjectionError::Verdict { scenario: SOAK.into(), seeds: failed_seeds.join(", ") }),
+    }
+}
+
 fn run_seed(
     program: &Path,
     name: &str,
--- a/crates/hillstall/src/simulation/arguments.rs
+++ b/crates/hillstall/src/simulation/arguments.rs
@@ -96,6 +96,22 @@
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
+    /// Ask one proxy of a fleet of real processes to end while its clients go on, and judge every request
+    #[command(name = "soak")]
+    ShutdownSoak {
+        /// The first seed, and how many from there on
+        #[arg(long = "seed", value_name = "SEED", default_value_t = 1)]
+        first_seed: u64,
+        /// How many seeds, one after another
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1_000))]
+        seeds: u64,
+        /// Play another version of this program than this one
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+        /// Keep configurations and logs of the processes here
+        #[arg(long = "keep", value_name = "FOLDER")]
+        output_folder: Option<PathBuf>,
+    },
     /// Hold one load carried by many copies of the proxy against the same carried by one
     #[command(name = "account")]
     FleetRatio {
--- a/crates/hillstall/tests/coordination/scenario.rs
+++ b/crates/hillstall/tests/coordination/scenario.rs
@@ -46,7 +46,7 @@
     F: Future<Output = ScriptResult> + 'static,
 {
     let mut last_error = String::new();
-    for _ in 0..MAX_ATTEMPTS {
+    for attempt in 1..=MAX_ATTEMPTS {
         match run_once(name, replicas, section, script.clone()) {
             Ok(run) => {
                 let violations = judge(&run.acts);
@@ -54,7 +54,10 @@
                 run.played.keeps_the_rules();
                 return run;
             }
-            Err(busy) if busy.starts_with(BUSY_PREFIX) => last_error = busy,
+            Err(busy) if busy.starts_with(BUSY_PREFIX) => {
+                println!("{name}: run {attempt} of {MAX_ATTEMPTS} is not counted: {busy}");
+                last_error = busy;
+            }
             Err(error) => panic!("{name}: {error}"),
         }
     }
--- a/crates/hillstall/tests/fault_injection/harness.rs
+++ b/crates/hillstall/tests/fault_injection/harness.rs
@@ -5,6 +5,7 @@
 use hillstall_fault_injection::history::History;
 use hillstall_fault_injection::invariant_checker::{Rule, Verdict};
 use hillstall_fault_injection::run::Script;
+use hillstall_fault_injection::soak::Sabotage;
 use hillstall_fault_injection::tcp_proxy::TransferredBytes;
 use hillstall_fault_injection::{Options, ScenarioRun};
 use hillstall_simulation::scenarios;
@@ -73,17 +74,34 @@
 /// Plays a scenario that comes with the program. The options are made anew for each play, as a void drill is repeated.
 pub fn drill_with(name: &str, seed: u64, options: impl Fn() -> Options) -> Played {
     let scenario = scenarios::find(name).expect("embedded");
-    let program = Path::new(env!("CARGO_BIN_EXE_hillstall"));
+    play_until_valid(name, || {
+        hillstall_fault_injection::run(program(), &scenario, seed, options()).expect("it can be played")
+    })
+}
+
+/// The soak of a seed, with what is done beside it to break a rule, if anything.
+pub fn soak(seed: u64, sabotage: Option<Sabotage>) -> Played {
+    play_until_valid(&format!("soak of seed {seed}"), || {
+        hillstall_fault_injection::soak::run(program(), seed, None, sabotage).expect("it can be played")
+    })
+}
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_hillstall"))
+}
+
+/// Plays until the rig was in time. Each void play is printed.
+fn play_until_valid(name: &str, play: impl Fn() -> ScenarioRun) -> Played {
     let mut why = String::new();
-    for play in 0..PLAYS {
-        let _turn = Turn::take(play > 0);
-        let drilled =
-            hillstall_fault_injection::run(program, &scenario, seed, options()).expect("it can be played");
+    for number in 0..PLAYS {
+        let _turn = Turn::take(number > 0);
+        let drilled = play();
         assert!(drilled.processes >= 6, "a fleet is more than {} processes", drilled.processes);
         match &drilled.verdict {
             Verdict::Void(late) => why = late.clone(),
             _ => return Played(drilled),
         }
+        println!("{name}: play {} of {PLAYS} was void: {why}", number + 1);
     }
     panic!("{name}: void {PLAYS} times: {why}");
 }
--- a/crates/hillstall/tests/fault_injection/main.rs
+++ b/crates/hillstall/tests/fault_injection/main.rs
@@ -2,6 +2,7 @@
 //! played once more with its mechanism off or a rule broken on purpose: then it must fail.
 
 mod harness;
+mod soak;
 
 use harness::{drill, drill_with, lied, look, scripted, service, wait, Looks};
 use hillstall_decision::{BackendState, RetrySafety, Settings};
