--- a/crates/maintenance/src/shift/admission.rs
+++ b/crates/maintenance/src/shift/admission.rs
@@ -29,7 +29,7 @@
     OtherSiteFailing {
         /// The other site.
         site: String,
-        /// See [`SiteLoad::success_ratio`].
+        /// See [`super::SiteLoad::success_ratio`].
         success_ratio: f64,
     },
     /// The other sites can't take over the traffic.
