--- a/crates/hillstall/tests/proxy/shutdown.rs
+++ b/crates/hillstall/tests/proxy/shutdown.rs
@@ -19,6 +19,16 @@
     })
 }
 
+/// A proxy that was asked to end while a request is open, which it will fail; and that request's connection.
+fn asked_to_end() -> (Proxy, Discovery, TcpStream) {
+    let backend = first_hangs();
+    let (proxy, discovery) = before(&[&backend]);
+    let held = open(proxy.address, &ask("read", "held", 20_000, ""));
+    until("the first request hangs", || backend.seen() == 1);
+    proxy.terminate();
+    (proxy, discovery, held)
+}
+
 /// Requests on new connections, one after another, until none is accepted. Returns how many got an answer, and how many
 /// were written and got none.
 fn call_until_refused(address: std::net::SocketAddr, client: usize) -> (usize, usize) {
@@ -41,11 +51,7 @@
 // Guards against requests that are read after the open ones were failed, and lose their answer as the process ends.
 #[test]
 fn what_arrives_on_new_connections_until_the_process_ends_gets_an_answer() {
-    let backend = first_hangs();
-    let (mut proxy, _discovery) = before(&[&backend]);
-    let held = open(proxy.address, &ask("read", "held", 20_000, ""));
-    until("the first request hangs", || backend.seen() == 1);
-    proxy.terminate();
+    let (mut proxy, _discovery, held) = asked_to_end();
     let address = proxy.address;
     let clients: Vec<_> =
         (0..CLIENTS).map(|client| thread::spawn(move || call_until_refused(address, client))).collect();
@@ -61,11 +67,7 @@
 // that is read is answered.
 #[test]
 fn what_arrives_on_a_kept_connection_until_the_process_ends_is_answered_or_not_read() {
-    let backend = first_hangs();
-    let (mut proxy, _discovery) = before(&[&backend]);
-    let _held = open(proxy.address, &ask("read", "held", 20_000, ""));
-    until("the first request hangs", || backend.seen() == 1);
-    proxy.terminate();
+    let (mut proxy, _discovery, _held) = asked_to_end();
     let mut kept = open(proxy.address, &ask("read", "k0", 1_000, ""));
     // Requests follow each other without a rest, so the connection is never idle.
     for number in 1.. {
@@ -81,11 +83,7 @@
 // Guards against pipelined requests that are lost when their connection is closed behind the first answer.
 #[test]
 fn pipelined_requests_are_all_answered_during_a_shutdown() {
-    let backend = first_hangs();
-    let (mut proxy, _discovery) = before(&[&backend]);
-    let _held = open(proxy.address, &ask("read", "held", 20_000, ""));
-    until("the first request hangs", || backend.seen() == 1);
-    proxy.terminate();
+    let (mut proxy, _discovery, _held) = asked_to_end();
     thread::sleep(CLOSES_IDLE_AFTER);
     let requests: String = (0..BATCH).map(|number| ask("read", &format!("p{number}"), 1_000, "")).collect();
     let stream = open(proxy.address, &requests);
--- a/crates/http1/src/server/shutdown.rs
+++ b/crates/http1/src/server/shutdown.rs
@@ -30,8 +30,8 @@
 const CLOSE_INTERVAL: Duration = Duration::from_millis(5);
 
 impl HttpServer {
-    /// Shuts down gracefully: returns when all accepted requests are answered and no connection is left to close. With a newer process at the same
-    /// address (`has_newer`), clients are sent there at once.
+    /// Shuts down gracefully: returns when all accepted requests are answered and no connection is left to close. With
+    /// a newer process at the same address (`has_newer`), clients are sent there at once.
     pub async fn shut_down(&self, has_newer: bool) {
         let stopped_at = Instant::now();
         let max_duration = self.max_stop_duration();
--- a/crates/proxy-core/src/driver/mod.rs
+++ b/crates/proxy-core/src/driver/mod.rs
@@ -174,8 +174,8 @@
         ClusterSize { size, unhealthy }
     }
 
-    /// Accepts a request; `None` if this proxy has its maximum of open requests, or is about to end. The completion arrives exactly
-    /// once, if the guard is kept until then; dropping it earlier says that the client has disconnected.
+    /// Accepts a request; `None` if this proxy has its maximum of open requests, or is about to end. The completion
+    /// arrives exactly once, if the guard is kept until then; dropping it earlier says that the client has disconnected.
     pub fn request(&self, metadata: RequestMetadata, payload: C::Request) -> Option<AcceptedRequest<C>> {
         let state = &mut *self.state.borrow_mut();
         if self.is_closed.get() || state.requests.len() >= self.max_open_requests {
