--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -233,7 +233,8 @@
         node.raft.set_randomized_election_timeout(self.election_timeout_ticks);
     }
 
-    /// Lets time pass to `now`; [`Replica::flush`] carries out what follows. After a long pause only one tick counts, as nothing could be received meanwhile.
+    /// Lets time pass to `now`; [`Replica::flush`] carries out what follows. After a long pause only one tick counts, as
+    /// nothing could be received meanwhile.
     pub fn tick(&mut self, now: Millis) {
         self.now = now;
         if self.halt_reason.is_some() {
--- a/crates/fault-injection/src/soak/clients.rs
+++ b/crates/fault-injection/src/soak/clients.rs
@@ -203,7 +203,7 @@
             id: id.clone(),
             class,
             tenant: 0,
-            key: key.clone(),
+            key,
             process: TARGET,
             written_at: None,
             ttl: ttl_ms,
