--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -83,6 +83,7 @@
         """Starts a proxy by the `run` line of the deploy file, as the platform does."""
         folder = os.path.join(self.folder, name)
         tmpdir = tmpdir or os.path.join(folder, "tmp")
+        os.makedirs(folder, exist_ok=True)
         os.makedirs(tmpdir, exist_ok=True)
         path = os.path.join(folder, "config.json")
         with open(path, "w", encoding="utf-8") as file:
