A shutdown completes the responses that are being forwarded before the process ends

Cause: HttpServer::shut_down waited for the longest deadline and 0.4 s, failed the open requests, closed idle connections for 0.15 s, and returned whatever was still open. A streamed response has no deadline, and nothing waited for its end.

Evidence: the process ended with code 0 at the fixed time and the backends got a reset, without SIGKILL. The other guess, that the close of idle connections takes such a connection for an idle one, is ruled out: its request stays in progress, and the cut came with the end of the process, not 0.15 s earlier.

Change: all steps stay, at the same time: open requests are failed, the listener is closed, later requests are rejected. If a response is still being forwarded or written after that, the process waits for its end and then closes what became idle. A log line tells of the wait. With nothing under way the process ends when it did before. Stalls end a response as before.

Tests: responses_under_way_are_completed_in_a_shutdown, ..._in_an_upgrade and response_under_way_delays_nothing_else_in_a_shutdown failed before and pass now; client_that_still_sends_at_the_end_of_a_shutdown_gets_its_response passed before as well and guards what the change must not break.

--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -12,6 +12,7 @@
 mod platform_file;
 mod protocol_violations;
 mod shutdown;
+mod shutdown_transfers;
 mod streams;
 use harness::*;
 use std::io::{BufReader, ErrorKind, Read, Write};
--- a/crates/http1/src/server/client_connection.rs
+++ b/crates/http1/src/server/client_connection.rs
@@ -73,6 +73,11 @@
         is_between_requests && self.close_mode.get() == CloseMode::Open && self.stream.is_idle_and_open()
     }
 
+    /// Whether a response is being forwarded, or has not been written completely.
+    pub(super) fn has_response_in_progress(&self) -> bool {
+        self.request_in_progress.get() || self.stream.is_write_blocked()
+    }
+
     /// Whether the client has sent more than the requests passed to the server: a pipelined request, or part
     /// of one.
     pub(super) fn has_waiting_request(&self) -> bool {
--- a/crates/http1/src/server/shutdown.rs
+++ b/crates/http1/src/server/shutdown.rs
@@ -6,6 +6,10 @@
 //! the longest deadline of a class (3 s at most) and a margin. Requests still open then are failed before the
 //! process could be killed. As clients may still send requests, the process then closes its listener and its
 //! connections, and rejects the requests that it reads in the meantime.
+//!
+//! A response that is being forwarded has no deadline: its backend may need longer to send it, or its client
+//! to read it. The process ends after the last of them. Each is aborted if it makes no progress for the stall
+//! timeout, and the process may be killed earlier.
 
 use super::client_connection::{ClientConnection, CloseMode};
 use super::HttpServer;
@@ -51,10 +55,28 @@
 
     /// Fails the open requests, rejects new ones, and closes the listener and the connections. A request that
     /// arrives while its connection is being closed is not read, so its client can safely send it elsewhere.
+    /// Responses that are being forwarded are completed first.
     async fn close_listener_and_connections(&self) {
         self.lifecycle.stop(Duration::ZERO);
         self.driver.close_all();
         self.stop_accepting.notify_one();
+        self.close_idle_connections().await;
+        let forwarding = self.forwarding_connections();
+        if forwarding > 0 {
+            tracing::info!(
+                connections = forwarding,
+                "shutdown: waiting for responses that are being forwarded"
+            );
+            while self.forwarding_connections() > 0 {
+                sleep(CONNECTIONS_POLL_INTERVAL).await;
+            }
+            self.close_idle_connections().await;
+        }
+        sleep(FINAL_WRITE_DURATION).await;
+    }
+
+    /// Closes connections as they become idle, until all are closed or `CLOSE_TIMEOUT` has passed.
+    async fn close_idle_connections(&self) {
         let closing_since = Instant::now();
         while !self.is_fully_closed() && closing_since.elapsed() < CLOSE_TIMEOUT {
             self.connections
@@ -64,7 +86,12 @@
                 .for_each(|connection| connection.close(CloseMode::Graceful));
             sleep(CLOSE_INTERVAL).await;
         }
-        sleep(FINAL_WRITE_DURATION).await;
+    }
+
+    /// Number of connections on which a response is being forwarded or written.
+    fn forwarding_connections(&self) -> usize {
+        let connections = self.connections.borrow();
+        connections.values().filter(|connection| connection.has_response_in_progress()).count()
     }
 
     fn is_fully_closed(&self) -> bool {
