A client that stops in a request read ahead with the one before it is closed in time

Cause: TrackedStream::message_completed forgot, at the end of the first request, that bytes of the next had been read with it. No start of the next request was recorded until another read came, so its timeout never ran, and a close as idle was taken back, because the framing does know that a request has begun.

Evidence: connections_with_unfinished_requests_are_closed, which sends further bytes of such a second request, passed on the code before: with a read of its own the start is recorded and the close is not taken back. So the missing start is the cause, and not the close that is taken back.

Change: at the end of a request the framing tells whether a part of the next has been read. That one starts with the last read, or now if the socket holds more of it, which the proxy could not read before. The same holds for a client that stops in a body that is dropped because its request was answered early.

Tests: unfinished_requests. Three of the four failed before (stopped in the request line, the headers, after the head, in the body; behind a short, a streamed and a slow response; in a drain); the fourth, clients that go on in time, passed before as well.

--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -14,6 +14,7 @@
 mod shutdown;
 mod shutdown_transfers;
 mod streams;
+mod unfinished_requests;
 use harness::*;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -126,10 +126,17 @@
         self.message_started_at.get()
     }
 
-    /// Records that the current message has ended.
+    /// Records that the current message has ended. If a part of the next one has been read with it, the next
+    /// one has started: with the last read, or now if the peer has sent more of it that is still unread.
     pub fn message_completed(&self) {
-        self.message_started_at.set(None);
         self.has_completed_message.set(true);
+        if self.is_between_messages() {
+            self.message_started_at.set(None);
+            return;
+        }
+        let started_at = if self.has_unread() { Instant::now() } else { self.last_read.get() };
+        self.message_started_at.set(Some(started_at));
+        self.read_window.set(ReadWindow::starting_at(started_at));
     }
 
     /// Whether a request had two lengths, or the framing of the received bytes could not be parsed.
