Tests of the proxy keep their ports, so that two proxies can't share one

Suspected were two proxies on one free port.

Cause, traced: the harness found a free port, released it, and started the proxy, which listens with SO_REUSEPORT. In between another test could get the same port, and both proxies listened on it and shared its connections.

Change: the port stays bound, without listening, as long as the proxy of the test and its successors run (ReservedPort of fault-injection, which the backends of fault injection use). Tests that start the program at an address of their own do the same. The ten attempts to start a proxy are gone, as the port can't be taken any more.

--- a/crates/hillstall/tests/proxy/admin_commands.rs
+++ b/crates/hillstall/tests/proxy/admin_commands.rs
@@ -86,12 +86,11 @@
     let (listener, admin) = bind_free_port();
     drop(listener);
     let command_line = format!("NODE_ADMIN_ADDR={admin} exec \"$0\"");
-    let (listener, address) = bind_free_port();
-    drop(listener);
+    let port = ReservedPort::take().expect("a port");
     let (mut command, _config) = proxy_command(
         &command_line,
         &platform_config(silent_discovery.address, &endpoint_list(0, true, &[])),
-        address,
+        port.address(),
     );
     let mut process = command.spawn().expect("the process starts");
     wait_until("the admin address accepts connections", || TcpStream::connect(admin).is_ok());
--- a/crates/hillstall/tests/proxy/commands.rs
+++ b/crates/hillstall/tests/proxy/commands.rs
@@ -210,8 +210,8 @@
 
 #[test]
 fn demo_serves_the_request_that_it_suggests() {
-    let (listener, address) = bind_free_port();
-    drop(listener);
+    let port = ReservedPort::take().expect("a port");
+    let address = port.address();
     let mut child = Command::new(env!("CARGO_BIN_EXE_hillstall"))
         .args(["demo", "--listen", &address.to_string()])
         .stderr(std::process::Stdio::null())
--- a/crates/hillstall/tests/proxy/handover.rs
+++ b/crates/hillstall/tests/proxy/handover.rs
@@ -43,8 +43,8 @@
 #[test]
 fn newer_process_connects_to_that_path_and_waits_for_the_byte() {
     let folder = tempfile::tempdir().expect("a folder");
-    let (listener, address) = bind_free_port();
-    drop(listener);
+    let port = ReservedPort::take().expect("a port");
+    let address = port.address();
     let older = UnixListener::bind(socket_path(folder.path(), address)).expect("a socket");
     let (mut command, _config) = proxy_command(&command_line(folder.path()), &config_with_backend(), address);
     let mut newer = command.spawn().expect("the process starts");
--- a/crates/hillstall/tests/proxy/harness.rs
+++ b/crates/hillstall/tests/proxy/harness.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a panic in a test helper fails the test")]
 
+pub use hillstall_fault_injection::reserved_port::ReservedPort;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -76,6 +77,11 @@
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
+/// A body of `length` bytes in which misplaced bytes are noticed.
+pub fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|i| (i * 31 % 251) as u8).collect()
+}
+
 pub fn bind_free_port() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("a local address");
@@ -257,6 +263,8 @@
     pub address: SocketAddr,
     child: Child,
     config: PathBuf,
+    /// Keeps the port from the proxies of other tests, which could listen on it too (`SO_REUSEPORT`).
+    port: Arc<ReservedPort>,
 }
 
 impl Proxy {
@@ -267,17 +275,12 @@
 
     /// Like [`Proxy::start`], with a shell command line that runs the program as `$0`.
     pub fn start_with_shell(line: &str, config: &str) -> Proxy {
-        // Another process may take the free port before the proxy listens on it; then another port is tried.
-        for _ in 0..10 {
-            let (listener, address) = bind_free_port();
-            drop(listener);
-            let (mut command, config) = proxy_command(line, config, address);
-            let mut proxy = Proxy { address, child: command.spawn().expect("the proxy starts"), config };
-            if proxy.wait_until_serving() {
-                return proxy;
-            }
-        }
-        panic!("the proxy did not start in ten attempts");
+        let port = Arc::new(ReservedPort::take().expect("a port"));
+        let (mut command, config) = proxy_command(line, config, port.address());
+        let child = command.spawn().expect("the proxy starts");
+        let mut proxy = Proxy { address: port.address(), child, config, port };
+        assert!(proxy.wait_until_serving(), "the proxy did not start");
+        proxy
     }
 
     /// Starts a proxy with an admin address; returns that address too.
@@ -294,8 +297,12 @@
         drop(listener);
         let line = format!("NODE_ADMIN_ADDR={admin} exec \"$0\"");
         let (mut command, config) = proxy_command(&line, config, self.address);
-        let newer =
-            Proxy { address: self.address, child: command.spawn().expect("the process starts"), config };
+        let newer = Proxy {
+            address: self.address,
+            child: command.spawn().expect("the process starts"),
+            config,
+            port: self.port.clone(),
+        };
         wait_until("the newer process serves", || {
             let stream = TcpStream::connect(admin).ok();
             let mut answer = String::new();
--- a/crates/hillstall/tests/proxy/shutdown_transfers.rs
+++ b/crates/hillstall/tests/proxy/shutdown_transfers.rs
@@ -27,10 +27,6 @@
     Close,
 }
 
-fn pattern(length: usize) -> Vec<u8> {
-    (0..length).map(|i| (i * 31 % 251) as u8).collect()
-}
-
 fn start_with_short_deadlines(backend: &Backend) -> (Proxy, std::net::SocketAddr, Discovery, String) {
     let discovery =
         Discovery::start(Some(endpoint_list(5, true, &[endpoint("b0", backend.address, "ready")])));
--- a/crates/hillstall/tests/proxy/streams.rs
+++ b/crates/hillstall/tests/proxy/streams.rs
@@ -7,11 +7,6 @@
 /// A body length, in bytes, above that of all buffers between backend and client together.
 const LONG_BODY: usize = 24 << 20;
 
-/// A body of `length` bytes in which misplaced bytes are noticed.
-fn pattern(length: usize) -> Vec<u8> {
-    (0..length).map(|i| (i * 31 % 251) as u8).collect()
-}
-
 /// Encodes a body in chunks of `size` bytes, with extensions and a trailer.
 fn encode_chunked(body: &[u8], size: usize) -> Vec<u8> {
     let mut text = Vec::new();
