--- a/crates/hillstall/tests/proxy/shutdown_transfers.rs
+++ b/crates/hillstall/tests/proxy/shutdown_transfers.rs
@@ -87,45 +87,58 @@
     (head, reader)
 }
 
+/// Sends one request after another, the first on `kept`, and waits until the backend has each of them.
+fn start_responses(
+    kept: TcpStream,
+    address: std::net::SocketAddr,
+    backend: &Backend,
+    count: usize,
+) -> Vec<TcpStream> {
+    let mut kept = Some(kept);
+    let start = |number: usize| {
+        let mut stream = kept.take().unwrap_or_else(|| connect_and_send(address, ""));
+        let request = build_request("once", &format!("t{number}"), DEADLINE_MS, "x");
+        stream.write_all(request.as_bytes()).expect("the request is written");
+        wait_until("the backend has the request", || backend.request_count() == number + 1);
+        stream
+    };
+    (1..=count).map(start).collect()
+}
+
+/// Reads a response to the end of its connection, with a pause after each piece. Returns its body; `None` if
+/// it is not complete.
+fn read_to_end(head: String, mut reader: BufReader<TcpStream>, pause: Duration) -> Option<Vec<u8>> {
+    let mut received = head.into_bytes();
+    let mut piece = vec![0; READ_BYTES];
+    while let Ok(length @ 1..) = reader.read(&mut piece) {
+        received.extend_from_slice(&piece[..length]);
+        thread::sleep(pause);
+    }
+    Message::read(&mut &received[..]).map(|response| response.body)
+}
+
 /// Starts a shutdown while backends send in every framing and one client reads slowly, the first on a
 /// connection that had a response before. All responses must arrive complete.
 fn check_responses_under_way(with_successor: bool) {
     let framings = &[Framing::Length, Framing::Chunks, Framing::Close];
     let backend = backend_with_responses(framings);
     let (mut proxy, _admin, _discovery, config) = start_with_short_deadlines(&backend);
-    let mut kept = Some(connect_and_send(proxy.address, &build_request("read", "t0", DEADLINE_MS, "")));
-    assert_eq!(read_response(kept.as_ref().expect("a connection")).expect("a response").status(), 200);
-    let streams: Vec<TcpStream> = (1..=framings.len() + 1)
-        .map(|number| {
-            let mut stream = kept.take().unwrap_or_else(|| connect_and_send(proxy.address, ""));
-            let request = build_request("once", &format!("t{number}"), DEADLINE_MS, "x");
-            stream.write_all(request.as_bytes()).expect("the request is written");
-            wait_until("the backend has the request", || backend.request_count() == number + 1);
-            stream
-        })
-        .collect();
+    let kept = connect_and_send(proxy.address, &build_request("read", "t0", DEADLINE_MS, ""));
+    assert_eq!(read_response(&kept).expect("a response").status(), 200);
+    let streams = start_responses(kept, proxy.address, &backend, framings.len() + 1);
     let clients: Vec<_> = streams
         .into_iter()
         .enumerate()
         .map(|(index, stream)| {
-            let (head, mut reader) = read_head(stream);
-            thread::spawn(move || {
-                let is_slow = index == framings.len();
-                let mut received = head.into_bytes();
-                let mut piece = vec![0; READ_BYTES];
-                while let Ok(length @ 1..) = reader.read(&mut piece) {
-                    received.extend_from_slice(&piece[..length]);
-                    thread::sleep(if is_slow { READ_INTERVAL } else { Duration::ZERO });
-                }
-                let response = Message::read(&mut &received[..]);
-                (index, response.map(|response| response.body))
-            })
+            let (head, reader) = read_head(stream);
+            let pause = if index == framings.len() { READ_INTERVAL } else { Duration::ZERO };
+            thread::spawn(move || read_to_end(head, reader, pause))
         })
         .collect();
     let successor = with_successor.then(|| proxy.start_newer(&config));
     proxy.terminate();
-    for client in clients {
-        let (index, body) = client.join().expect("the client ends");
+    for (index, client) in clients.into_iter().enumerate() {
+        let body = client.join().expect("the client ends");
         let expected = pattern(if index == framings.len() { SLOWLY_READ_BYTES } else { RESPONSE_BYTES });
         let length = body.as_ref().map(Vec::len);
         assert!(body.as_ref() == Some(&expected), "response {index}: {length:?} bytes");
