--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -241,6 +241,25 @@
                 "group": group, "status": status, "weight": 1.0, "since_ms": since}
 
 
+class UnreachableBackend:
+    """A backend whose machine takes no connection: its queue is full, so that connects don't come up."""
+
+    def __init__(self, name):
+        self.name = name
+        self.socket = socket.socket()
+        self.socket.bind(("127.0.0.1", 0))
+        self.socket.listen(0)
+        self.address = self.socket.getsockname()
+        self.queued = []
+        for _ in range(4):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(self.address)
+            self.queued.append(sock)
+
+    entry = Backend.entry
+
+
 def answer_with_id(_backend, sock, request):
     body = f"answer to {request['id']}".encode()
     sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
