A long request keeps its beginning when an idle backend connection is reset

Callers saw 200 for requests over 64 KiB that had run without the first 24 KB of their body.

Cause: hyper takes the first pieces of a body into its buffer before it writes for the first time. When that write met a reset, nothing was on the wire, so the attempt repeated the exchange on a new connection with what was left of the body.

Change: the body of an attempt keeps what it has passed on until a byte has been written, and puts it back if the attempt ends before. The request is whole again for the new connection, and for an attempt at another backend. An exchange is never repeated with a body of which a part is gone. A debug line says how many bytes were put back.

--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -6,6 +6,7 @@
 mod commands;
 mod handover;
 mod harness;
+mod idle_resets;
 mod operations;
 mod operator_file;
 mod operator_settings;
--- a/crates/http1/src/backend_connection.rs
+++ b/crates/http1/src/backend_connection.rs
@@ -48,7 +48,7 @@
     }
 
     /// The TCP stream of the connection, which shows how far its request and response have got.
-    pub fn stream(&self) -> &TrackedStream {
+    pub fn stream(&self) -> &Rc<TrackedStream> {
         &self.stream
     }
 
--- a/crates/http1/src/client/attempt.rs
+++ b/crates/http1/src/client/attempt.rs
@@ -7,7 +7,7 @@
 use crate::response_body::StreamingResponseBody;
 use hillstall_decision::{BackendId, Outcome};
 use hillstall_proxy_core::metrics::Counter;
-use hillstall_proxy_core::transport::{Attempt, AttemptResult, Transport};
+use hillstall_proxy_core::transport::{Attempt, AttemptResult, RequestPayload, Transport};
 use hyper::StatusCode;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -76,11 +76,14 @@
                 }
                 Err(error) => error,
             };
-            if is_reused && error.is_closed_before_sending(&connection) {
-                // No byte of the request was sent, so it is sent on a new connection.
-                continue;
+            let is_unsent = is_reused && error.is_closed_before_sending(&connection);
+            let result = self.failure_result(backend, &connection, &error, started_at);
+            // Returns the body to the request, as far as nothing was written.
+            drop(connection);
+            if !is_unsent || request.is_consumed() {
+                return result;
             }
-            return self.failure_result(backend, &connection, &error, started_at);
+            // No byte of the request was sent, so it is sent on a new connection.
         }
     }
 
@@ -113,7 +116,8 @@
             return Err(AttemptError::NotStarted(Outcome::NotSent));
         }
         connection.stream().begin_request(attempt.request.body_length(), attempt.sent_counter.clone());
-        let exchange = connection.exchange(forwarded_request(attempt.request, remaining), &self.limits);
+        let request = forwarded_request(attempt.request, remaining, connection.stream());
+        let exchange = connection.exchange(request, &self.limits);
         tokio::select! {
             biased;
             result = exchange => result.map_err(|_| AttemptError::ExchangeFailed),
--- a/crates/http1/src/client/forwarding.rs
+++ b/crates/http1/src/client/forwarding.rs
@@ -2,10 +2,12 @@
 
 use crate::message::{ClientRequest, ClientRequestBody, TIMEOUT_HEADER};
 use crate::request_body::AttemptBody;
+use crate::stream::TrackedStream;
 use hillstall_decision::Outcome;
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, StatusCode, Uri};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Headers that are not forwarded: hop-by-hop headers, and those that hyper sets itself.
@@ -25,11 +27,15 @@
 /// request.
 const NOT_STARTED: HeaderName = HeaderName::from_static("not-started");
 
-/// The request to send to a backend that has `remaining` time to respond.
-pub(super) fn forwarded_request(request: &ClientRequest, remaining: Duration) -> Request<AttemptBody> {
+/// The request to send to a backend that has `remaining` time to respond, on the connection of `stream`.
+pub(super) fn forwarded_request(
+    request: &ClientRequest,
+    remaining: Duration,
+    stream: &Rc<TrackedStream>,
+) -> Request<AttemptBody> {
     let mut forwarded = Request::new(match &request.body {
         ClientRequestBody::Buffered(body) => AttemptBody::Buffered(Full::new(body.bytes.clone())),
-        ClientRequestBody::Streaming(body) => AttemptBody::streaming(body),
+        ClientRequestBody::Streaming(body) => AttemptBody::streaming(body, stream.clone()),
     });
     *forwarded.method_mut() = request.method.clone();
     *forwarded.uri_mut() = Uri::from(request.path.clone());
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -35,13 +35,13 @@
 }
 
 impl ClientRequest {
-    /// The length of the body; for a chunked one, a flag that says whether all of it has been read.
+    /// The length of the body; for a chunked one, a flag that says whether an attempt has all of it.
     pub fn body_length(&self) -> RequestBodyLength {
         match &self.body {
             ClientRequestBody::Buffered(body) => RequestBodyLength::Known(body.bytes.len()),
             ClientRequestBody::Streaming(body) => match body.length() {
                 Some(length) => RequestBodyLength::Known(length as usize),
-                None => RequestBodyLength::Chunked(body.ended()),
+                None => RequestBodyLength::Chunked(body.fully_passed()),
             },
         }
     }
--- a/crates/http1/src/request_body.rs
+++ b/crates/http1/src/request_body.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// Puts back pieces that were returned last, in the same order, so that they are returned again.
+    fn put_back(&mut self, pieces: Vec<Bytes>) {
+        for piece in pieces.into_iter().rev() {
+            self.remaining_bytes += piece.len();
+            self.buffered.push_front(piece);
+        }
+    }
+
     /// Whether all data has been returned.
     pub fn is_end_stream(&self) -> bool {
         self.buffered.is_empty() && self.body.is_end_stream()
@@ -81,20 +89,23 @@
     }
 }
 
-/// A request body that is forwarded as it arrives. It can be sent only once, as sent data is not kept.
+/// A request body that is forwarded as it arrives. Data is kept until the first byte of the request has been
+/// written; from then on the body can't be sent again.
 pub struct StreamingRequestBody {
     client_stream: Rc<TrackedStream>,
     timeout: Duration,
     /// The part that has not been sent; `None` while an attempt holds it.
     remainder: RefCell<Option<BodyStream>>,
-    /// Whether a part of the body has been passed to an attempt.
+    /// Whether a part of the body has been passed to an attempt and not put back.
     consumed: Cell<bool>,
+    /// Whether all of the body has been passed to the attempt in flight.
+    fully_passed: Rc<Cell<bool>>,
     /// Whether an attempt waits for the client to send more.
     waiting_for_client: Cell<bool>,
     /// When an attempt last requested data.
     last_pulled_at: Cell<Instant>,
     /// Whether the last byte has been read.
-    ended: Rc<Cell<bool>>,
+    ended: Cell<bool>,
     length: Option<u64>,
     _reservation: Reservation,
 }
@@ -111,9 +122,10 @@
             client_stream,
             timeout,
             consumed: Cell::new(false),
+            fully_passed: Rc::default(),
             waiting_for_client: Cell::new(false),
             last_pulled_at: Cell::new(Instant::now()),
-            ended: Rc::default(),
+            ended: Cell::new(false),
             length: remainder.size_hint().exact(),
             remainder: RefCell::new(Some(remainder)),
             _reservation: reservation,
@@ -130,12 +142,13 @@
         self.length
     }
 
-    /// A flag that becomes true when the last byte has been read.
-    pub fn ended(&self) -> Rc<Cell<bool>> {
-        self.ended.clone()
+    /// A flag that becomes true when all of the body has been passed to an attempt.
+    pub fn fully_passed(&self) -> Rc<Cell<bool>> {
+        self.fully_passed.clone()
     }
 
-    /// Whether a part has been passed to an attempt, so that the body can't be sent again.
+    /// Whether a part has been passed to an attempt that wrote something, so that the body can't be sent
+    /// again.
     pub fn is_consumed(&self) -> bool {
         self.consumed.get()
     }
@@ -173,43 +186,46 @@
 pub enum AttemptBody {
     /// A complete body in memory, which can be sent again.
     Buffered(Full<Bytes>),
-    /// A streamed body, which can be sent only once.
-    Streaming {
-        /// The body that the client sends.
-        source: Rc<StreamingRequestBody>,
-        /// The part that has not been sent. It is returned to `source` when the attempt ends.
-        remainder: Option<BodyStream>,
-    },
+    /// A streamed body.
+    Streaming(StreamedAttemptBody),
+}
+
+/// A streamed request body as sent by one attempt. hyper takes pieces of it before it writes for the first
+/// time, so the pieces are kept until something has been written. If the attempt ends before that, they go
+/// back to `source`.
+pub struct StreamedAttemptBody {
+    /// The body that the client sends.
+    source: Rc<StreamingRequestBody>,
+    /// The part that has not been sent. It is returned to `source` when the attempt ends.
+    remainder: Option<BodyStream>,
+    /// The pieces that were taken while nothing had been written.
+    taken: Vec<Bytes>,
+    /// The stream of the backend connection.
+    backend_stream: Rc<TrackedStream>,
 }
 
 impl AttemptBody {
-    /// Takes the unsent part of a streamed body for an attempt.
-    pub fn streaming(source: &Rc<StreamingRequestBody>) -> AttemptBody {
+    /// Takes the unsent part of a streamed body for an attempt on the connection of `backend_stream`, on
+    /// which the request has begun.
+    pub fn streaming(source: &Rc<StreamingRequestBody>, backend_stream: Rc<TrackedStream>) -> AttemptBody {
         source.last_pulled_at.set(Instant::now());
-        AttemptBody::Streaming { source: source.clone(), remainder: source.remainder.take() }
+        AttemptBody::Streaming(StreamedAttemptBody {
+            source: source.clone(),
+            remainder: source.remainder.take(),
+            taken: Vec::new(),
+            backend_stream,
+        })
     }
 }
 
-impl Body for AttemptBody {
-    type Data = Bytes;
-    type Error = Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        let (source, remainder) = match &mut *self {
-            AttemptBody::Buffered(body) => {
-                return Pin::new(body).poll_frame(cx).map_err(|never| match never {});
-            }
-            AttemptBody::Streaming { source, remainder } => (source, remainder),
-        };
-        let Some(remainder) = remainder else {
+impl StreamedAttemptBody {
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        let source = &self.source;
+        let Some(remainder) = &mut self.remainder else {
             return Poll::Ready(Some(Err(Error::other(
                 "the request body is held by another attempt or has been discarded",
             ))));
         };
-        source.consumed.set(true);
         source.last_pulled_at.set(Instant::now());
         let polled = remainder.poll_data(cx);
         if polled.is_pending() && !source.waiting_for_client.get() {
@@ -219,34 +235,75 @@
         source.waiting_for_client.set(polled.is_pending());
         if matches!(polled, Poll::Ready(None)) || remainder.is_end_stream() {
             source.ended.set(true);
+            source.fully_passed.set(true);
+        }
+        if let Poll::Ready(Some(Ok(piece))) = &polled {
+            source.consumed.set(true);
+            self.keep(piece.clone());
         }
         polled.map_ok(Frame::data)
     }
 
+    /// Keeps a piece until something of the request has been written.
+    fn keep(&mut self, piece: Bytes) {
+        if self.backend_stream.has_sent_request_bytes() {
+            self.taken = Vec::new();
+        } else {
+            self.taken.push(piece);
+        }
+    }
+
+    /// Puts back what was taken, as nothing has been written.
+    fn put_back_taken(&mut self) {
+        let Some(remainder) = &mut self.remainder else { return };
+        let taken = std::mem::take(&mut self.taken);
+        let bytes: usize = taken.iter().map(Bytes::len).sum();
+        if bytes > 0 {
+            tracing::debug!(bytes, "attempt: nothing was written; its part of the request body is put back");
+        }
+        remainder.put_back(taken);
+        self.source.consumed.set(false);
+        self.source.fully_passed.set(false);
+    }
+}
+
+impl Drop for StreamedAttemptBody {
+    fn drop(&mut self) {
+        if !self.backend_stream.has_sent_request_bytes() {
+            self.put_back_taken();
+        }
+        self.source.waiting_for_client.set(false);
+        self.source.remainder.replace(self.remainder.take());
+    }
+}
+
+impl Body for AttemptBody {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        match &mut *self {
+            AttemptBody::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            AttemptBody::Streaming(body) => body.poll_frame(cx),
+        }
+    }
+
     fn is_end_stream(&self) -> bool {
         match self {
             AttemptBody::Buffered(body) => body.is_end_stream(),
-            AttemptBody::Streaming { remainder, .. } => {
-                remainder.as_ref().is_some_and(BodyStream::is_end_stream)
-            }
+            AttemptBody::Streaming(body) => body.remainder.as_ref().is_some_and(BodyStream::is_end_stream),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             AttemptBody::Buffered(body) => body.size_hint(),
-            AttemptBody::Streaming { remainder, .. } => {
-                remainder.as_ref().map(BodyStream::size_hint).unwrap_or_default()
+            AttemptBody::Streaming(body) => {
+                body.remainder.as_ref().map(BodyStream::size_hint).unwrap_or_default()
             }
         }
     }
 }
-
-impl Drop for AttemptBody {
-    fn drop(&mut self) {
-        if let AttemptBody::Streaming { source, remainder } = self {
-            source.waiting_for_client.set(false);
-            source.remainder.replace(remainder.take());
-        }
-    }
-}
