Bodies that come in small pieces take no more memory than their length

Callers saw the proxy killed for memory with all their requests open: 48 bodies of 60,000 bytes in chunks of one byte took it over 64 MB.

Cause: the pieces of a buffered body were kept as they came. A piece of one byte takes 32 bytes of the queue, twice that while it grows, and keeps the read buffer that it came in; the reservation counted the body's bytes alone.

Change: pieces are copied into one allocation (BodyBuffer), for requests and answers, which is what is reserved.

--- a/crates/hillstall/tests/proxy/harness.rs
+++ b/crates/hillstall/tests/proxy/harness.rs
@@ -358,6 +358,14 @@
         names
     }
 
+    /// The most memory that the process has used so far, in MiB.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the state of the process");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
+        peak.expect("the peak memory").trim().parse::<u64>().expect("a number") / 1024
+    }
+
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().expect("the state of the process").is_none()
     }
--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -3,6 +3,7 @@
 
 mod access_log;
 mod admin_commands;
+mod body_memory;
 mod commands;
 mod handover;
 mod harness;
--- a/crates/http1/src/backend_connection.rs
+++ b/crates/http1/src/backend_connection.rs
@@ -1,8 +1,8 @@
 //! One connection to a backend, and the request-response exchanges on it.
 
+use crate::body_buffer::BodyBuffer;
 use crate::request_body::{AttemptBody, BodyStream};
 use crate::stream::{HyperStream, TrackedStream};
-use bytes::Bytes;
 use hillstall_proxy_core::limits::{BufferedBody, Limits, Reservation};
 use hillstall_proxy_core::tuning::Tuning;
 use http_body_util::BodyExt;
@@ -10,7 +10,6 @@
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::header::{self, HeaderMap, HeaderName};
 use hyper::{Method, Request, StatusCode};
-use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::future::Future;
 use std::pin::Pin;
@@ -162,20 +161,19 @@
     let is_long = matches!(length, BodyLength::Known(bytes) if bytes > max_buffered as u64);
     let is_unsized = length == BodyLength::Unknown;
     let stream_at = Instant::now() + length.max_buffering_time(&tuning);
-    let (mut pieces, mut buffered) = (VecDeque::new(), 0);
+    let mut buffer = BodyBuffer::new(max_buffered);
     loop {
         let is_streaming = is_long || (is_unsized && Instant::now() >= stream_at);
-        if buffered > 0 && (is_streaming || buffered > max_buffered) {
-            let stream = BodyStream::new(pieces, body, tuning.max_message_bytes);
+        if !buffer.is_empty() && (is_streaming || buffer.len() > max_buffered) {
+            let stream = BodyStream::new(buffer.into_bytes(), body, tuning.max_message_bytes);
             return Ok(ReceivedBody::Partial(stream, reservation));
         }
         let times_out_at = Instant::now() + tuning.response_timeout;
-        let until = if is_unsized && buffered > 0 { stream_at } else { times_out_at };
+        let until = if is_unsized && !buffer.is_empty() { stream_at } else { times_out_at };
         match timeout_at(until.into(), body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 if let Ok(piece) = frame.into_data() {
-                    buffered += piece.len();
-                    pieces.push_back(piece);
+                    buffer.push(&piece);
                 }
             }
             Ok(Some(Err(error))) => return Err(ExchangeError::Body(error)),
@@ -184,16 +182,8 @@
             Err(_elapsed) => return Err(ExchangeError::TimedOut),
         }
     }
-    reservation.shrink_to(buffered);
-    Ok(ReceivedBody::Complete(BufferedBody::new(concatenate(pieces), reservation)))
-}
-
-/// Joins the pieces of a body. A single piece is not copied.
-pub fn concatenate(mut pieces: VecDeque<Bytes>) -> Bytes {
-    match (pieces.len(), pieces.pop_front()) {
-        (1, Some(only)) => only,
-        (_, first) => first.into_iter().chain(pieces).collect::<Vec<_>>().concat().into(),
-    }
+    reservation.shrink_to(buffer.len());
+    Ok(ReceivedBody::Complete(BufferedBody::new(buffer.into_bytes(), reservation)))
 }
 
 /// The length of a body according to the head of its message.
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -6,6 +6,7 @@
 //! buffers.
 
 pub mod backend_connection;
+pub mod body_buffer;
 pub mod client;
 pub mod discovery;
 pub mod framing;
--- a/crates/http1/src/request_body.rs
+++ b/crates/http1/src/request_body.rs
@@ -14,8 +14,12 @@
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
+/// Maximum length of a piece of the part that has been read, in bytes: that of a piece that arrives later.
+const MAX_PIECE_BYTES: usize = 8 * 1024;
+
 /// A request or response body that is streamed: the part that has been read, and the source of the rest.
 pub struct BodyStream {
+    /// Read and not returned, in the order of arrival.
     buffered: VecDeque<Bytes>,
     body: Incoming,
     /// Number of bytes that the rest of the body may have.
@@ -23,8 +27,9 @@
 }
 
 impl BodyStream {
-    /// A body of at most `max_bytes` in total, of which the pieces in `buffered` have been read.
-    pub fn new(buffered: VecDeque<Bytes>, body: Incoming, max_bytes: usize) -> BodyStream {
+    /// A body of at most `max_bytes` in total, whose first part has been read.
+    pub fn new(first_part: Bytes, body: Incoming, max_bytes: usize) -> BodyStream {
+        let buffered = Some(first_part).filter(|part| !part.is_empty()).into_iter().collect();
         BodyStream { buffered, body, remaining_bytes: max_bytes }
     }
 
@@ -33,7 +38,7 @@
     /// # Errors
     /// The body ended early, or is longer than `max_bytes`.
     pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
-        let piece = match self.buffered.pop_front() {
+        let piece = match self.next_buffered() {
             Some(piece) => piece,
             None => match ready!(self.poll_unread_data(cx)) {
                 Some(Ok(piece)) => piece,
@@ -51,6 +56,15 @@
         }))
     }
 
+    /// Takes the next piece of the part that has been read.
+    fn next_buffered(&mut self) -> Option<Bytes> {
+        let next = self.buffered.front_mut()?;
+        if next.len() > MAX_PIECE_BYTES {
+            return Some(next.split_to(MAX_PIECE_BYTES));
+        }
+        self.buffered.pop_front()
+    }
+
     /// The next piece of data that has not been read yet.
     fn poll_unread_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
         loop {
--- a/crates/http1/src/server/body_prefix.rs
+++ b/crates/http1/src/server/body_prefix.rs
@@ -3,39 +3,36 @@
 
 use super::client_connection::ClientConnection;
 use super::request_error::RequestError;
-use crate::backend_connection::concatenate;
+use crate::body_buffer::BodyBuffer;
 use crate::message::ClientRequestBody;
 use crate::request_body::{BodyStream, StreamingRequestBody};
-use bytes::Bytes;
 use hillstall_proxy_core::limits::{BufferedBody, Reservation};
 use hillstall_proxy_core::tuning::Tuning;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::Method;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 /// The part of a request body that has been read, and the source of the remainder if there is one.
 pub(super) struct BodyPrefix {
-    pieces: VecDeque<Bytes>,
+    buffer: BodyBuffer,
     remainder: Option<Incoming>,
 }
 
 impl BodyPrefix {
     /// Reads a body to its end, or until more than `max_buffered` bytes have been received.
     pub(super) async fn read(mut body: Incoming, max_buffered: usize) -> Result<BodyPrefix, RequestError> {
-        let (mut pieces, mut buffered) = (VecDeque::new(), 0);
-        while buffered <= max_buffered {
+        let mut buffer = BodyBuffer::new(max_buffered);
+        while buffer.len() <= max_buffered {
             let Some(frame) = body.frame().await else {
-                return Ok(BodyPrefix { pieces, remainder: None });
+                return Ok(BodyPrefix { buffer, remainder: None });
             };
             let frame = frame.map_err(|_| RequestError::TruncatedBody)?;
             if let Ok(piece) = frame.into_data() {
-                buffered += piece.len();
-                pieces.push_back(piece);
+                buffer.push(&piece);
             }
         }
-        Ok(BodyPrefix { pieces, remainder: Some(body) })
+        Ok(BodyPrefix { buffer, remainder: Some(body) })
     }
 
     /// Checks what depends on the body: the framing of its chunks, and that only a POST has one.
@@ -43,7 +40,7 @@
         if connection.stream.has_ambiguous_framing() {
             return Err(RequestError::InvalidChunks);
         }
-        let is_empty = self.pieces.is_empty() && self.remainder.is_none();
+        let is_empty = self.buffer.is_empty() && self.remainder.is_none();
         if *method != Method::POST && !is_empty {
             return Err(RequestError::UnexpectedBody);
         }
@@ -59,11 +56,11 @@
         tuning: &Tuning,
     ) -> ClientRequestBody {
         let Some(remainder) = self.remainder else {
-            let bytes = concatenate(self.pieces);
+            let bytes = self.buffer.into_bytes();
             reservation.shrink_to(bytes.len());
             return ClientRequestBody::Buffered(BufferedBody::new(bytes, reservation));
         };
-        let stream = BodyStream::new(self.pieces, remainder, tuning.max_message_bytes);
+        let stream = BodyStream::new(self.buffer.into_bytes(), remainder, tuning.max_message_bytes);
         let client_stream = connection.stream.clone();
         ClientRequestBody::Streaming(StreamingRequestBody::new(client_stream, timeout, stream, reservation))
     }
