The id of a request stays in use until its response has been written to the end

A bad client that sent the id of another client's request got it run and served while the first answer was on its way.

Cause: the id was released when the response was returned, which is at its first bytes when it is streamed, and before any byte is written when it is buffered.

Change: the id goes with the response, and is released when hyper's write buffer is empty after the last byte of it.

--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -13,6 +13,7 @@
 mod operator_settings;
 mod platform_file;
 mod protocol_violations;
+mod request_ids;
 mod shutdown;
 mod shutdown_transfers;
 mod streams;
--- a/crates/http1/src/server/client_connection.rs
+++ b/crates/http1/src/server/client_connection.rs
@@ -1,5 +1,6 @@
 //! The state of one client connection.
 
+use super::open_ids::OpenRequestId;
 use crate::request_body::StreamingRequestBody;
 use crate::stream::TrackedStream;
 use hillstall_proxy_core::limits::{BufferedBody, Reservation};
@@ -36,6 +37,8 @@
     pub(super) last_response: RefCell<Option<BufferedBody>>,
     /// The body of the request in progress, if it is streamed.
     pub(super) streaming_body: RefCell<Option<Rc<StreamingRequestBody>>>,
+    /// The id of the request in progress, until its response exists.
+    pub(super) open_request_id: RefCell<Option<OpenRequestId>>,
     pub(super) close_mode: Cell<CloseMode>,
     /// Whether the connection is parked: idle, with only its socket kept and hyper's buffers released.
     pub(super) parked: Cell<bool>,
@@ -56,6 +59,7 @@
             last_used_at: Cell::new(Instant::now()),
             last_response: RefCell::default(),
             streaming_body: RefCell::default(),
+            open_request_id: RefCell::default(),
             close_mode: Cell::new(CloseMode::Open),
             parked: Cell::new(false),
             wake: Notify::new(),
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -6,6 +6,7 @@
 mod client_connection;
 mod connection_task;
 mod maintenance;
+mod open_ids;
 mod readiness;
 mod request;
 mod request_error;
@@ -21,7 +22,8 @@
 use hillstall_proxy_core::limits::Limits;
 use hillstall_proxy_core::metrics::Metrics;
 use maintenance::MAINTENANCE_INTERVAL;
-use rustc_hash::{FxHashMap, FxHashSet};
+use open_ids::OpenRequestIds;
+use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Instant;
@@ -39,7 +41,7 @@
     retry_after: bool,
     connections: RefCell<FxHashMap<u64, Rc<ClientConnection>>>,
     next_connection_id: Cell<u64>,
-    open_request_ids: Rc<RefCell<FxHashSet<String>>>,
+    open_request_ids: OpenRequestIds,
     limits: Rc<Limits>,
     started_at: Instant,
     /// Whether the process started with a cached endpoint list.
@@ -72,7 +74,7 @@
             retry_after: settings.permissions.retry_after,
             connections: RefCell::default(),
             next_connection_id: Cell::new(0),
-            open_request_ids: Rc::default(),
+            open_request_ids: OpenRequestIds::default(),
             limits,
             started_at: Instant::now(),
             has_cached_endpoints,
--- a/crates/http1/src/server/request.rs
+++ b/crates/http1/src/server/request.rs
@@ -4,7 +4,7 @@
 use super::body_prefix::BodyPrefix;
 use super::client_connection::ClientConnection;
 use super::request_error::RequestError;
-use super::request_head::{check_transfer_coding, single_value, OpenRequestId, REQUEST_ID};
+use super::request_head::{check_transfer_coding, single_value, REQUEST_ID};
 use super::response::{forwarded_response, rejection, text_response, with_outcome, ClientResponse};
 use super::{HttpServer, MAINTENANCE_INTERVAL};
 use crate::client::HttpClient;
@@ -54,7 +54,6 @@
 
 /// A request that the driver has accepted.
 struct ForwardedRequest {
-    _open_id: OpenRequestId,
     guard: RequestGuard<HttpClient>,
     receiver: oneshot::Receiver<Completion<HttpClient>>,
     deadline: Instant,
@@ -90,6 +89,9 @@
         let must_close =
             result.is_err() || discards_body || (should_close_idle && !connection.has_waiting_request());
         let mut response = result.unwrap_or_else(|error| text_response(error.status(), error.message()));
+        if let Some(open_id) = connection.open_request_id.take() {
+            response.body_mut().keep_open(open_id, connection.stream.clone());
+        }
         if must_close {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -128,7 +130,7 @@
             ForwardResult::Accepted(forwarded) => forwarded,
             ForwardResult::Rejected(response) => return Ok(response),
         };
-        let ForwardedRequest { _open_id, guard, receiver, deadline, streaming_body, .. } = forwarded;
+        let ForwardedRequest { guard, receiver, deadline, streaming_body, .. } = forwarded;
         let completion = wait_for_completion(&guard, receiver, deadline, streaming_body).await;
         let logged = completion.as_ref().filter(|_| tuning.log_requests);
         let record = logged.map(|completion| self.access_log_record(forwarded.log_context, completion));
@@ -146,8 +148,8 @@
         tuning: &Tuning,
     ) -> Result<ForwardResult, RequestError> {
         let id = single_value(&request.headers, REQUEST_ID).unwrap_or_default();
-        let _open_id =
-            OpenRequestId::new(&self.open_request_ids, id).ok_or(RequestError::DuplicateRequestId)?;
+        let open_id = self.open_request_ids.register(id).ok_or(RequestError::DuplicateRequestId)?;
+        connection.open_request_id.replace(Some(open_id));
         let streaming_body = match &request.body {
             ClientRequestBody::Streaming(body) => Some(body.clone()),
             ClientRequestBody::Buffered(_) => None,
@@ -165,7 +167,6 @@
             return Ok(ForwardResult::Rejected(response));
         };
         Ok(ForwardResult::Accepted(ForwardedRequest {
-            _open_id,
             guard,
             receiver,
             deadline,
--- a/crates/http1/src/server/request_head.rs
+++ b/crates/http1/src/server/request_head.rs
@@ -10,9 +10,6 @@
 use hyper::header::{HeaderMap, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::Method;
-use rustc_hash::FxHashSet;
-use std::cell::RefCell;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Identifies a request. Two open requests must not have the same id.
@@ -139,23 +136,3 @@
     let last = path.rsplit('/').next().filter(|last| !last.is_empty())?;
     Some(u64::from_str_radix(last, 16).unwrap_or_else(|_| fnv1a(last.as_bytes())))
 }
-
-/// The id of an open request. Dropping this makes the id available again.
-pub(super) struct OpenRequestId {
-    ids: Rc<RefCell<FxHashSet<String>>>,
-    id: String,
-}
-
-impl OpenRequestId {
-    /// Registers an id; `None` if another open request has it.
-    pub(super) fn new(ids: &Rc<RefCell<FxHashSet<String>>>, id: &str) -> Option<OpenRequestId> {
-        let is_new = ids.borrow_mut().insert(id.to_string());
-        is_new.then(|| OpenRequestId { ids: ids.clone(), id: id.to_string() })
-    }
-}
-
-impl Drop for OpenRequestId {
-    fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
-    }
-}
--- a/crates/http1/src/server/response.rs
+++ b/crates/http1/src/server/response.rs
@@ -2,8 +2,10 @@
 
 use super::access_log::AccessLogRecord;
 use super::client_connection::ClientConnection;
+use super::open_ids::OpenRequestId;
 use crate::message::{BackendResponse, BackendResponseBody};
 use crate::response_body::{StreamingResponseBody, TransferState};
+use crate::stream::TrackedStream;
 use bytes::Bytes;
 use hillstall_proxy_core::metrics::{InProgress, RequestOutcome};
 use http_body_util::Full;
@@ -23,10 +25,20 @@
     open_request: Option<(InProgress, RequestOutcome)>,
     /// The connection whose request stays in progress until the streamed response has ended.
     pub(super) busy_connection: Option<Rc<ClientConnection>>,
+    /// The id of the request, and the stream on which the response has to be written before it is available
+    /// again.
+    open_id: Option<(OpenRequestId, Rc<TrackedStream>)>,
     /// The access log record, if requests are logged.
     pub(super) access_log_record: Option<Box<AccessLogRecord>>,
 }
 
+impl ResponseBody {
+    /// Keeps the id of the request in use until the response has been written to `stream`.
+    pub(super) fn keep_open(&mut self, id: OpenRequestId, stream: Rc<TrackedStream>) {
+        self.open_id = Some((id, stream));
+    }
+}
+
 /// Where the body of a response comes from.
 enum BodySource {
     /// A complete body in memory.
@@ -85,11 +97,21 @@
         if let Some(connection) = self.busy_connection.take() {
             connection.finish_request();
         }
+        if let Some((id, stream)) = self.open_id.take() {
+            // The connection still has the end of the body in its write buffer.
+            stream.call_when_written(move || drop(id));
+        }
     }
 }
 
 fn response_with(source: BodySource, busy_connection: Option<Rc<ClientConnection>>) -> ClientResponse {
-    Response::new(ResponseBody { source, open_request: None, busy_connection, access_log_record: None })
+    Response::new(ResponseBody {
+        source,
+        open_request: None,
+        busy_connection,
+        open_id: None,
+        access_log_record: None,
+    })
 }
 
 /// The response to the client for a backend's response. The only headers forwarded are `Content-Type` and,
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -41,6 +41,8 @@
     /// Whether the last write could not write everything, because the peer does not read fast enough.
     write_blocked: Cell<bool>,
     last_write_progress: Cell<Instant>,
+    /// Called once hyper has written all that it has buffered.
+    on_written: RefCell<Vec<Box<dyn FnOnce()>>>,
     read_window: Cell<ReadWindow>,
     request_progress: RefCell<WriteProgress>,
     /// The framing of the received requests, if the peer is a client.
@@ -92,6 +94,7 @@
             has_completed_message: Cell::new(false),
             write_blocked: Cell::new(false),
             last_write_progress: Cell::new(now),
+            on_written: RefCell::default(),
             read_window: Cell::new(ReadWindow::starting_at(now)),
             request_progress: RefCell::default(),
             framing,
@@ -185,6 +188,12 @@
         self.write_blocked.get()
     }
 
+    /// Calls `callback` once hyper has written all that it has buffered. If the connection ends before,
+    /// `callback` is dropped with this stream.
+    pub fn call_when_written(&self, callback: impl FnOnce() + 'static) {
+        self.on_written.borrow_mut().push(Box::new(callback));
+    }
+
     /// Starts tracking a request that is about to be written. `sent_counter` is incremented when its last
     /// byte is written.
     pub fn begin_request(&self, body: RequestBodyLength, sent_counter: Counter) {
@@ -268,7 +277,10 @@
         }
     }
 
+    /// hyper calls this only when its write buffer is empty.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
+        let callbacks = self.0.on_written.take();
+        callbacks.into_iter().for_each(|callback| callback());
         Poll::Ready(Ok(()))
     }
 
