Nothing is sent for a client that has left, whatever it sent before is unread

Attempts began up to 0.47 s after their client had closed its connection: for several requests sent at once, and for long ones while a connect was waited for.

Cause: hyper sees the end of a client's stream only behind all that came before it, and nothing else looked.

Change: the runtime's readiness of the socket says whether the peer has closed it, with data still unread. That is asked before a request is passed on, when an attempt starts, right before its first byte, and every 0.1 s for requests in progress, which ends them. Such an attempt counts as not sent, not as a failure of its backend. A debug line says so.

--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -5,6 +5,7 @@
 mod admin_commands;
 mod body_memory;
 mod commands;
+mod departed_clients;
 mod handover;
 mod harness;
 mod idle_resets;
--- a/crates/http1/src/client/attempt.rs
+++ b/crates/http1/src/client/attempt.rs
@@ -106,9 +106,13 @@
         target: &Target,
         connection: &mut BackendConnection,
     ) -> Result<ReceivedResponse, AttemptError> {
+        // The client may have disconnected during the connect.
+        if !target.permit.is_request_open() {
+            return Err(AttemptError::NotStarted(Outcome::NotSent));
+        }
         // The backend may have begun to drain during the connect, and no new attempt may start there after
         // its drain grace period.
-        if !target.permit.may_send() {
+        if !target.permit.is_backend_current() {
             return Err(AttemptError::NotStarted(Outcome::ConnectFailed));
         }
         let remaining = attempt.remaining_time();
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -2,7 +2,7 @@
 
 use crate::request_body::StreamingRequestBody;
 use crate::response_body::StreamingResponseBody;
-use crate::stream::RequestBodyLength;
+use crate::stream::{RequestBodyLength, TrackedStream};
 use hillstall_proxy_core::limits::BufferedBody;
 use hillstall_proxy_core::transport::RequestPayload;
 use hyper::header::{HeaderMap, HeaderName};
@@ -24,6 +24,8 @@
     pub headers: HeaderMap,
     /// The body, buffered if it is short enough.
     pub body: ClientRequestBody,
+    /// The stream of the client's connection.
+    pub client_stream: Rc<TrackedStream>,
 }
 
 /// The body of a [`ClientRequest`].
@@ -58,6 +60,10 @@
             ClientRequestBody::Streaming(body) => Some(body.deadline()? - body.timeout()),
         }
     }
+
+    fn has_client_left(&self) -> bool {
+        self.client_stream.has_peer_closed()
+    }
 }
 
 /// The response of a backend, to be forwarded to the client.
--- a/crates/http1/src/server/maintenance.rs
+++ b/crates/http1/src/server/maintenance.rs
@@ -18,6 +18,7 @@
     pub async fn maintain_connections(self: Rc<Self>) {
         loop {
             sleep(MAINTENANCE_INTERVAL).await;
+            self.close_abandoned();
             self.close_timed_out();
             let tuning = self.limits.tuning();
             let is_closing = self.lifecycle.should_close_idle(tuning.drain_close_delay);
@@ -79,6 +80,17 @@
         }
     }
 
+    /// Ends the requests whose client has left. hyper notices that only after it has read all that the client
+    /// sent.
+    fn close_abandoned(&self) {
+        for connection in self.connections.borrow().values() {
+            if connection.request_in_progress.get() && connection.stream.has_peer_closed() {
+                connection.request_in_progress.set(false);
+                connection.close(CloseMode::Immediate);
+            }
+        }
+    }
+
     /// Closes connections whose client takes too long to send its request or to read its response.
     fn close_timed_out(&self) {
         let tuning = self.limits.tuning();
--- a/crates/http1/src/server/request.rs
+++ b/crates/http1/src/server/request.rs
@@ -125,7 +125,8 @@
         let prefix = BodyPrefix::read(body, tuning.max_buffered_body_bytes).await?;
         prefix.check(connection, &head.method)?;
         let body = prefix.into_request_body(connection, timeout, reservation, &tuning);
-        let request = ClientRequest { method: head.method, path, headers: head.headers, body };
+        let client_stream = connection.stream.clone();
+        let request = ClientRequest { method: head.method, path, headers: head.headers, body, client_stream };
         let forwarded = match self.forward(connection, metadata, timeout, request, &tuning)? {
             ForwardResult::Accepted(forwarded) => forwarded,
             ForwardResult::Rejected(response) => return Ok(response),
@@ -147,6 +148,9 @@
         request: ClientRequest,
         tuning: &Tuning,
     ) -> Result<ForwardResult, RequestError> {
+        if connection.stream.has_peer_closed() {
+            return Err(RequestError::ClientLeft);
+        }
         let id = single_value(&request.headers, REQUEST_ID).unwrap_or_default();
         let open_id = self.open_request_ids.register(id).ok_or(RequestError::DuplicateRequestId)?;
         connection.open_request_id.replace(Some(open_id));
--- a/crates/http1/src/server/request_error.rs
+++ b/crates/http1/src/server/request_error.rs
@@ -40,6 +40,8 @@
     TruncatedBody,
     /// The chunked body is malformed.
     InvalidChunks,
+    /// The client has closed its connection. Nobody reads the response.
+    ClientLeft,
     /// A backend answered with this client error status.
     RejectedByBackend(StatusCode),
 }
@@ -78,6 +80,7 @@
             RequestError::BodyTooLarge => "the body is too large",
             RequestError::TruncatedBody => "the body is cut short",
             RequestError::InvalidChunks => "the body is not in chunks",
+            RequestError::ClientLeft => "the client has left",
             RequestError::RejectedByBackend(_) => "a backend found fault with it",
         }
     }
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -8,15 +8,15 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::io::{ErrorKind, Result};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, ReadBuf};
+use tokio::io::{AsyncRead, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 /// Maximum number of bytes read from the socket at once.
@@ -215,6 +215,19 @@
         SockRef::from(&*self.socket.borrow()).peek(&mut [MaybeUninit::uninit()])
     }
 
+    /// Whether the peer has closed the connection, or its sending side, even if data that it sent before is
+    /// still unread. Reads don't show that until they have come to the end of the data.
+    pub fn has_peer_closed(&self) -> bool {
+        let socket = self.socket.borrow();
+        let ready = pin!(socket.ready(Interest::READABLE));
+        // The runtime knows the readiness without a system call, and keeps a close for good.
+        match ready.poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
+    }
+
     /// Whether the peer has sent data that is still unread.
     pub fn has_unread(&self) -> bool {
         matches!(self.peek(), Ok(1..))
--- a/crates/proxy-core/src/driver/attempts.rs
+++ b/crates/proxy-core/src/driver/attempts.rs
@@ -22,7 +22,11 @@
 
 impl<C: Transport> SendCheck for Driver<C> {
     fn is_request_open(&self, request: RequestId) -> bool {
-        self.state.borrow().requests.get(request).is_some_and(|open| !open.has_response())
+        let state = self.state.borrow();
+        state
+            .requests
+            .get(request)
+            .is_some_and(|open| !open.has_response() && !open.payload.has_client_left())
     }
 
     fn is_backend_current(&self, backend: BackendId, address: &BackendAddress) -> bool {
@@ -43,7 +47,8 @@
 
 impl<C: Transport> Driver<C> {
     /// Starts an attempt that the decision module has chosen. Reports [`Outcome::NotSent`] instead if the
-    /// backend is unknown, or if `OpenRequest::may_start_attempt` does not allow the attempt.
+    /// backend is unknown, or if `OpenRequest::may_start_attempt` does not allow the attempt. A request whose
+    /// client has left fails.
     pub(super) fn send(
         &self,
         state: &mut State<C>,
@@ -52,6 +57,10 @@
         timeout_ms: Millis,
     ) {
         let address = state.directory.backend(backend);
+        if let Some(open) = state.requests.get_mut(request).filter(|open| open.payload.has_client_left()) {
+            tracing::debug!(request, attempts = open.trace.attempts, "not sent: the client has left");
+            open.respond(FinalResponse::Failed);
+        }
         let open = state.requests.get_mut(request).filter(|open| open.may_start_attempt(self.max_attempts));
         let (Some(open), Some(address)) = (open, address) else {
             return Self::report_not_sent(state, request, backend);
--- a/crates/proxy-core/src/transport.rs
+++ b/crates/proxy-core/src/transport.rs
@@ -17,6 +17,9 @@
     /// When the last byte of a streamed payload arrived; `None` if it has not arrived yet, or if the payload
     /// was complete before the first attempt.
     fn completed_at(&self) -> Option<Instant>;
+
+    /// Whether the client has closed its connection, so that no attempt may start any more.
+    fn has_client_left(&self) -> bool;
 }
 
 /// One attempt to send a request to a backend.
