A long answer that has begun is not cut off for a retry

Callers got 502 or 503 after 0.6 s for answers that a backend was still writing: its head was there, its body came later.

Cause: the timeout of an attempt, learned from usual answers, held until the first bytes of the body.

Change: once the head of a 200 with a long body or one of unknown length is there, the attempt doesn't time out. The answer is passed on from its first bytes, or 0.1 s after its head without any, at the latest when the attempt would have timed out. Without memory for its beginning it is streamed unbuffered; the attempt failed before.

Evidence: the test failed before (two answers cut off) and passes now.

--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -17,6 +17,7 @@
 mod request_ids;
 mod shutdown;
 mod shutdown_transfers;
+mod slow_transfers;
 mod streams;
 mod unfinished_requests;
 use harness::*;
--- a/crates/http1/src/backend_connection.rs
+++ b/crates/http1/src/backend_connection.rs
@@ -2,7 +2,8 @@
 
 use crate::body_buffer::BodyBuffer;
 use crate::request_body::{AttemptBody, BodyStream};
-use crate::stream::{HyperStream, TrackedStream};
+use crate::stream::{HyperStream, TrackedStream, READ_BUFFER_BYTES};
+use bytes::Bytes;
 use hillstall_proxy_core::limits::{BufferedBody, Limits, Reservation};
 use hillstall_proxy_core::tuning::Tuning;
 use http_body_util::BodyExt;
@@ -15,7 +16,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::net::TcpStream;
 use tokio::time::timeout_at;
 
@@ -71,38 +72,74 @@
     /// Sends a request and reads the response, with its body as far as it is buffered.
     ///
     /// # Errors
-    /// No response was received, or a response with status 200 has a body that is incomplete, ambiguous in
-    /// length or too large. Responses with any other status are returned without such a body.
+    /// Those of [`send`](Self::send) and [`read_body`](Self::read_body).
     pub async fn exchange(
         &mut self,
         request: Request<AttemptBody>,
         limits: &Limits,
     ) -> Result<ReceivedResponse, ExchangeError> {
+        let response = self.send(request).await?;
+        let stream_at = Instant::now() + limits.tuning().max_unsized_buffering;
+        self.read_body(response, stream_at, limits).await
+    }
+
+    /// Sends a request and reads the head of the response.
+    ///
+    /// # Errors
+    /// The connection ended before the head was received.
+    pub async fn send(&mut self, request: Request<AttemptBody>) -> Result<ResponseStart, ExchangeError> {
         let is_head = request.method() == Method::HEAD;
-        let response = async {
-            let response = self.sender.send_request(request).await.map_err(ExchangeError::Connection)?;
-            let (head, body) = response.into_parts();
-            let length = if is_head { Ok(BodyLength::Known(0)) } else { body_length(&head.headers) };
-            let body = match length {
-                Ok(length) => read_response_body(body, length, limits).await,
-                Err(error) => Err(error),
-            };
-            match body {
-                Err(error) if head.status == StatusCode::OK => Err(error),
-                body => Ok(ReceivedResponse { status: head.status, headers: head.headers, body: body.ok() }),
+        let response = self.sender.send_request(request);
+        let response = drive_during(&mut self.protocol, &mut self.closed, response).await;
+        let (head, body) = response.map_err(ExchangeError::Connection)?.into_parts();
+        let length = if is_head { Ok(BodyLength::Known(0)) } else { body_length(&head.headers) };
+        Ok(ResponseStart { status: head.status, headers: head.headers, length, body })
+    }
+
+    /// Reads the body of a response until it is complete or must be streamed: a long one from its first bytes
+    /// on, and one that is long or of unknown length at `stream_at`. From then on a client benefits more from
+    /// the beginning of the response than from a possible retry.
+    ///
+    /// # Errors
+    /// A response with status 200 has a body that is incomplete, ambiguous in length or too large. Responses
+    /// with any other status are returned without such a body.
+    pub async fn read_body(
+        &mut self,
+        response: ResponseStart,
+        stream_at: Instant,
+        limits: &Limits,
+    ) -> Result<ReceivedResponse, ExchangeError> {
+        let ResponseStart { status, headers, length, body } = response;
+        let body = match length {
+            Ok(length) => {
+                let body = read_response_body(body, length, stream_at, limits);
+                drive_during(&mut self.protocol, &mut self.closed, body).await
             }
+            Err(error) => Err(error),
         };
-        tokio::pin!(response);
-        tokio::select! {
-            biased;
-            response = &mut response => return response,
-            // hyper still delivers the data that it read before the connection ended.
-            _ = &mut self.protocol, if !self.closed => self.closed = true,
+        match body {
+            Err(error) if status == StatusCode::OK => Err(error),
+            body => Ok(ReceivedResponse { status, headers, body: body.ok() }),
         }
-        response.await
     }
 }
 
+/// Polls a connection while waiting for something that it delivers.
+async fn drive_during<T>(
+    protocol: &mut Pin<Box<Connection<HyperStream, AttemptBody>>>,
+    closed: &mut bool,
+    delivered: impl Future<Output = T>,
+) -> T {
+    tokio::pin!(delivered);
+    tokio::select! {
+        biased;
+        result = &mut delivered => return result,
+        // hyper still delivers the data that it read before the connection ended.
+        _ = protocol, if !*closed => *closed = true,
+    }
+    delivered.await
+}
+
 /// Why a request got no usable response.
 #[derive(Debug, thiserror::Error)]
 pub enum ExchangeError {
@@ -126,6 +163,23 @@
     TimedOut,
 }
 
+/// A response of which the head has been received.
+pub struct ResponseStart {
+    status: StatusCode,
+    headers: HeaderMap,
+    length: Result<BodyLength, ExchangeError>,
+    body: Incoming,
+}
+
+impl ResponseStart {
+    /// Whether this is the successful response to the request, with a body that is or may be too long to be
+    /// buffered. It is passed on while the backend still sends it, however long that takes.
+    pub fn may_be_streamed(&self, tuning: &Tuning) -> bool {
+        let is_streamed = |length: &BodyLength| length.is_streamed(tuning);
+        self.status == StatusCode::OK && self.length.as_ref().is_ok_and(is_streamed)
+    }
+}
+
 /// The response to one request.
 pub struct ReceivedResponse {
     /// HTTP status; only 200 counts as success.
@@ -140,36 +194,36 @@
 pub enum ReceivedBody {
     /// The complete body.
     Complete(BufferedBody),
-    /// The first pieces and the source of the rest, with the reservation of their memory.
-    Partial(BodyStream, Reservation),
+    /// The first part and the source of the rest, with the reservation of the memory of that part.
+    Partial(BodyStream, Option<Reservation>),
 }
 
-/// Reads a body until it is complete or must be streamed. It is streamed if it is too long to buffer, or if
-/// its length is unknown and `max_unsized_buffering` has passed; from then on a client benefits more from the
-/// first bytes than from a possible retry.
+/// Reads a body until it is complete or must be streamed, see [`BackendConnection::read_body`].
 async fn read_response_body(
     mut body: Incoming,
     length: BodyLength,
+    stream_at: Instant,
     limits: &Limits,
 ) -> Result<ReceivedBody, ExchangeError> {
     let tuning = limits.tuning();
-    let max_buffered = tuning.max_buffered_body_bytes;
-    let mut reservation = limits
-        .buffered_bytes
-        .reserve(length.bytes_to_reserve(&tuning)?)
-        .ok_or(ExchangeError::OutOfCapacity)?;
-    let is_long = matches!(length, BodyLength::Known(bytes) if bytes > max_buffered as u64);
-    let is_unsized = length == BodyLength::Unknown;
-    let stream_at = Instant::now() + length.max_buffering_time(&tuning);
-    let mut buffer = BodyBuffer::new(max_buffered);
+    let may_be_streamed = length.is_streamed(&tuning);
+    let reservation = limits.buffered_bytes.reserve(length.bytes_to_reserve(&tuning)?);
+    // Without memory for it, such a body can still be streamed.
+    if reservation.is_none() && may_be_streamed {
+        let stream = BodyStream::new(Bytes::new(), body, tuning.max_message_bytes);
+        return Ok(ReceivedBody::Partial(stream, None));
+    }
+    let mut reservation = reservation.ok_or(ExchangeError::OutOfCapacity)?;
+    let mut buffer = BodyBuffer::new(tuning.max_buffered_body_bytes);
     loop {
-        let is_streaming = is_long || (is_unsized && Instant::now() >= stream_at);
-        if !buffer.is_empty() && (is_streaming || buffer.len() > max_buffered) {
+        let is_long = length.is_long(&tuning) || buffer.len() > tuning.max_buffered_body_bytes;
+        let has_begun = is_long && !buffer.is_empty();
+        if has_begun || (may_be_streamed && Instant::now() >= stream_at) {
             let stream = BodyStream::new(buffer.into_bytes(), body, tuning.max_message_bytes);
-            return Ok(ReceivedBody::Partial(stream, reservation));
+            return Ok(ReceivedBody::Partial(stream, Some(reservation)));
         }
         let times_out_at = Instant::now() + tuning.response_timeout;
-        let until = if is_unsized && !buffer.is_empty() { stream_at } else { times_out_at };
+        let until = if may_be_streamed { stream_at } else { times_out_at };
         match timeout_at(until.into(), body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 if let Ok(piece) = frame.into_data() {
@@ -178,7 +232,7 @@
             }
             Ok(Some(Err(error))) => return Err(ExchangeError::Body(error)),
             Ok(None) => break,
-            Err(_elapsed) if until < times_out_at => {}
+            Err(_elapsed) if may_be_streamed => {}
             Err(_elapsed) => return Err(ExchangeError::TimedOut),
         }
     }
@@ -202,17 +256,21 @@
             BodyLength::Known(bytes) if bytes > tuning.max_message_bytes as u64 => {
                 Err(ExchangeError::BodyTooLarge)
             }
-            BodyLength::Known(bytes) => Ok((bytes as usize).min(tuning.max_buffered_body_bytes)),
+            // Streamed from its first piece on.
+            BodyLength::Known(_) if self.is_long(tuning) => Ok(READ_BUFFER_BYTES),
+            BodyLength::Known(bytes) => Ok(bytes as usize),
             BodyLength::Unknown => Ok(tuning.max_buffered_body_bytes),
         }
     }
 
-    /// Maximum time for which a body is buffered before it is streamed.
-    fn max_buffering_time(self, tuning: &Tuning) -> Duration {
-        match self {
-            BodyLength::Known(_) => tuning.response_timeout,
-            BodyLength::Unknown => tuning.max_unsized_buffering,
-        }
+    /// Whether the body is known to be too long to be buffered.
+    fn is_long(self, tuning: &Tuning) -> bool {
+        matches!(self, BodyLength::Known(bytes) if bytes > tuning.max_buffered_body_bytes as u64)
+    }
+
+    /// Whether the body is too long to be buffered, or may be.
+    fn is_streamed(self, tuning: &Tuning) -> bool {
+        self == BodyLength::Unknown || self.is_long(tuning)
     }
 }
 
--- a/crates/http1/src/client/attempt.rs
+++ b/crates/http1/src/client/attempt.rs
@@ -121,11 +121,20 @@
         }
         connection.stream().begin_request(attempt.request.body_length(), attempt.sent_counter.clone());
         let request = forwarded_request(attempt.request, remaining, connection.stream());
-        let exchange = connection.exchange(request, &self.limits);
+        let tuning = self.limits.tuning();
+        let response = tokio::select! {
+            biased;
+            response = connection.send(request) => response.map_err(|_| AttemptError::ExchangeFailed)?,
+            () = attempt.wait_for_timeout(tuning.stall_timeout) => return Err(AttemptError::TimedOut),
+        };
+        let stream_at = attempt.last_response_start().min(Instant::now() + tuning.max_unsized_buffering);
+        let is_streamed = response.may_be_streamed(&tuning);
+        let response = connection.read_body(response, stream_at, &self.limits);
         tokio::select! {
             biased;
-            result = exchange => result.map_err(|_| AttemptError::ExchangeFailed),
-            () = attempt.wait_for_timeout(self.limits.tuning().stall_timeout) => Err(AttemptError::TimedOut),
+            response = response => response.map_err(|_| AttemptError::ExchangeFailed),
+            // A response that the backend is still sending is not cut off for a retry.
+            () = attempt.wait_for_timeout(tuning.stall_timeout), if !is_streamed => Err(AttemptError::TimedOut),
         }
     }
 
@@ -212,6 +221,14 @@
         }
     }
 
+    /// The latest time for the beginning of the response.
+    fn last_response_start(&self) -> Instant {
+        match &self.request.body {
+            ClientRequestBody::Buffered(_) => self.until,
+            ClientRequestBody::Streaming(body) => Instant::now() + body.timeout(),
+        }
+    }
+
     /// Waits until the attempt must end. With a buffered body that is at `until`. With a streamed body it is
     /// at the client's deadline, after the timeout from the last byte, or when the backend has not read for
     /// `stall_timeout`.
--- a/crates/http1/src/request_body.rs
+++ b/crates/http1/src/request_body.rs
@@ -93,6 +93,11 @@
         self.buffered.is_empty() && self.body.is_end_stream()
     }
 
+    /// Whether data that has been read is still to be returned.
+    pub fn has_buffered(&self) -> bool {
+        !self.buffered.is_empty()
+    }
+
     /// Number of bytes still to be returned.
     pub fn size_hint(&self) -> SizeHint {
         let buffered: usize = self.buffered.iter().map(Bytes::len).sum();
--- a/crates/http1/src/response_body.rs
+++ b/crates/http1/src/response_body.rs
@@ -32,7 +32,8 @@
     state: TransferState,
     stall_timer: Option<Pin<Box<Sleep>>>,
     stall_timeout: Duration,
-    _reservation: Reservation,
+    /// Covers the part of the body that was read before it was streamed.
+    reservation: Option<Reservation>,
 }
 
 impl StreamingResponseBody {
@@ -41,7 +42,7 @@
     pub fn new(
         body: BodyStream,
         connection: BackendConnection,
-        reservation: Reservation,
+        reservation: Option<Reservation>,
         stall_timeout: Duration,
         return_connection: impl FnOnce(BackendConnection) + 'static,
     ) -> StreamingResponseBody {
@@ -52,7 +53,7 @@
             state: TransferState::InProgress,
             stall_timer: None,
             stall_timeout,
-            _reservation: reservation,
+            reservation,
         }
     }
 
@@ -103,6 +104,9 @@
         match this.body.poll_data(cx) {
             Poll::Ready(Some(Ok(piece))) => {
                 this.stall_timer = None;
+                if !this.body.has_buffered() {
+                    this.reservation = None;
+                }
                 if this.body.is_end_stream() {
                     this.complete(cx);
                 }
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 
 /// Maximum number of bytes read from the socket at once.
-const READ_BUFFER_BYTES: usize = 8 * 1024;
+pub(crate) const READ_BUFFER_BYTES: usize = 8 * 1024;
 
 /// The length of a request body, by which the end of the request is recognised when it is written.
 pub enum RequestBodyLength {
