The time of a long request counts from when its client may have written the last byte

Clients of long requests got their answer up to 8.9 s after their time when a backend read slowly or not at all.

Cause: the time counted from when the proxy had read the last byte. While the backend doesn't read, the proxy doesn't either, and the byte waits in a buffer of the systems.

The bound moves on while the body is read. What a backend is told is what is left of that time. A debug line says why such an attempt ended.

--- a/crates/hillstall/tests/proxy/slow_transfers.rs
+++ b/crates/hillstall/tests/proxy/slow_transfers.rs
@@ -1,6 +1,8 @@
 //! Backends that write a long response slowly, or read a long request slowly or not at all.
 
 use super::*;
+use socket2::SockRef;
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicUsize;
 use std::sync::Arc;
 
@@ -9,6 +11,12 @@
 /// How long a backend takes between the head of a response and its body: longer than the timeout of an attempt
 /// after some quick ones.
 const BODY_DELAY: Duration = Duration::from_millis(800);
+/// How long the clients of long requests wait for the response, from their last byte on, in milliseconds.
+const CLIENT_TIMEOUT_MS: u32 = 600;
+/// A response that comes so long after the client's time has no effect, and a later one is lost.
+const MAX_LATENESS: Duration = Duration::from_millis(500);
+/// Length of a request of which the systems hold all that the proxy does not read, in bytes.
+const LONG_REQUEST: usize = 320_000;
 /// Number of quick requests from which the proxy learns how long an attempt takes.
 const QUICK_REQUESTS: usize = 30;
 
@@ -67,3 +75,90 @@
         assert_eq!(cut_off.load(Ordering::SeqCst), 0, "responses cut off, {framing}");
     }
 }
+
+/// Reads the rest of a request, whose body has `total` bytes or more on the wire, at this speed; false if the
+/// connection ends before.
+fn read_slowly(stream: &mut TcpStream, is_chunked: bool, total: usize, bytes_per_second: usize) -> bool {
+    let started_at = Instant::now();
+    let (mut bytes_read, mut piece) = (0, [0; 4_096]);
+    loop {
+        let length = stream.read(&mut piece).unwrap_or(0);
+        bytes_read += length;
+        if length == 0 || (bytes_read >= total && (!is_chunked || piece[..length].ends_with(b"0\r\n\r\n"))) {
+            return length > 0;
+        }
+        let due = Duration::from_micros((bytes_read * 1_000_000 / bytes_per_second) as u64);
+        thread::sleep(due.saturating_sub(started_at.elapsed()));
+    }
+}
+
+/// A backend that reads `bytes_per_second` of a long request with a body of `total` bytes, or nothing of it if
+/// that is 0, through a small buffer, and then answers. It answers short requests at once.
+fn slow_reader(bytes_per_second: usize, total: usize) -> SocketAddr {
+    let (listener, address) = bind_free_port();
+    SockRef::from(&listener).set_recv_buffer_size(8 * 1024).expect("the buffer is set");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            thread::spawn(move || loop {
+                let (mut head, mut byte) = (Vec::new(), [0]);
+                while !head.ends_with(b"\r\n\r\n") {
+                    if stream.read(&mut byte).unwrap_or(0) == 0 {
+                        return;
+                    }
+                    head.push(byte[0]);
+                }
+                let head = String::from_utf8(head).expect("text").to_lowercase();
+                let is_chunked = head.contains("transfer-encoding");
+                let is_read = if head.contains("content-length: 1\r\n") {
+                    stream.read_exact(&mut byte).is_ok()
+                } else if bytes_per_second == 0 {
+                    thread::sleep(WAIT_TIMEOUT);
+                    false
+                } else {
+                    read_slowly(&mut stream, is_chunked, total, bytes_per_second)
+                };
+                if !is_read || stream.write_all(OK.as_bytes()).is_err() {
+                    return;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Sends a long request and returns its status, and how long after its last byte was written it came.
+fn send_long_request(proxy: &Proxy, id: &str, is_chunked: bool) -> (u16, Duration) {
+    let framing = if is_chunked {
+        "Transfer-Encoding: chunked".to_string()
+    } else {
+        format!("Content-Length: {LONG_REQUEST}")
+    };
+    let head = build_request("keyed", id, CLIENT_TIMEOUT_MS, "").replace("Content-Length: 0", &framing);
+    let mut body = pattern(LONG_REQUEST);
+    if is_chunked {
+        body = [format!("{LONG_REQUEST:x}\r\n").as_bytes(), &body, b"\r\n0\r\n\r\n"].concat();
+    }
+    let mut client = connect_and_send(proxy.address, &head);
+    client.write_all(&body).expect("the body is written");
+    let written_at = Instant::now();
+    let reply = read_response(&client).expect("a response");
+    (reply.status(), written_at.elapsed())
+}
+
+// Guards against a response that comes seconds after the client's time, because the last byte of the request
+// waits in a buffer of the system while the backend does not read.
+#[test]
+fn long_request_to_a_backend_that_does_not_read_is_answered_in_time() {
+    for (bytes_per_second, is_chunked) in [(0, false), (0, true), (100_000, false), (100_000, true)] {
+        let address = slow_reader(bytes_per_second, LONG_REQUEST);
+        let discovery = Discovery::start(Some(endpoint_list(5, true, &[endpoint("b0", address, "ready")])));
+        let proxy = Proxy::start(&platform_config(discovery.address, &endpoint_list(0, true, &[])));
+        let (status, after) = send_long_request(&proxy, "s1", is_chunked);
+        let limit = Duration::from_millis(u64::from(CLIENT_TIMEOUT_MS)) + MAX_LATENESS;
+        assert!(
+            status != 200 && after < limit,
+            "{bytes_per_second} bytes a second: {status} after {after:?}"
+        );
+    }
+}
--- a/crates/http1/src/client/attempt.rs
+++ b/crates/http1/src/client/attempt.rs
@@ -217,7 +217,7 @@
     fn remaining_time(&self) -> Duration {
         match &self.request.body {
             ClientRequestBody::Buffered(_) => self.until.saturating_duration_since(Instant::now()),
-            ClientRequestBody::Streaming(body) => body.timeout().min(self.timeout),
+            ClientRequestBody::Streaming(body) => body.remaining_time().min(self.timeout),
         }
     }
 
@@ -225,24 +225,29 @@
     fn last_response_start(&self) -> Instant {
         match &self.request.body {
             ClientRequestBody::Buffered(_) => self.until,
-            ClientRequestBody::Streaming(body) => Instant::now() + body.timeout(),
+            ClientRequestBody::Streaming(body) => Instant::now() + body.remaining_time(),
         }
     }
 
-    /// Waits until the attempt must end. With a buffered body that is at `until`. With a streamed body it is
-    /// at the client's deadline, after the timeout from the last byte, or when the backend has not read for
+    /// Waits until the attempt must end. With a buffered body that is at `until`. With a streamed body, which
+    /// could not be sent again, it is at the client's deadline, or when the backend has not read for
     /// `stall_timeout`.
     async fn wait_for_timeout(&self, stall_timeout: Duration) {
         let ClientRequestBody::Streaming(body) = &self.request.body else {
             return sleep_until(self.until.into()).await;
         };
-        let deadline = loop {
-            match body.deadline() {
-                Some(deadline) => break deadline,
-                None if body.is_backend_stalled(stall_timeout) => return,
-                None => sleep(STREAMING_POLL_INTERVAL).await,
+        while body.received_at().is_none() {
+            let is_due = body.deadline().is_some_and(|deadline| deadline <= Instant::now());
+            if is_due || body.is_backend_stalled(stall_timeout) {
+                tracing::debug!(
+                    is_due,
+                    bytes_read = body.bytes_read(),
+                    "attempt: ends before the backend has read the request"
+                );
+                return;
             }
-        };
-        sleep_until(deadline.min(Instant::now() + self.timeout).into()).await;
+            sleep(STREAMING_POLL_INTERVAL.min(body.remaining_time())).await;
+        }
+        sleep(body.remaining_time().min(self.timeout)).await;
     }
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod response_body;
 pub mod server;
 pub mod stream;
+pub mod upload_progress;
 mod write_progress;
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -57,7 +57,7 @@
     fn completed_at(&self) -> Option<Instant> {
         match &self.body {
             ClientRequestBody::Buffered(_) => None,
-            ClientRequestBody::Streaming(body) => Some(body.deadline()? - body.timeout()),
+            ClientRequestBody::Streaming(body) => body.received_at(),
         }
     }
 
--- a/crates/http1/src/request_body.rs
+++ b/crates/http1/src/request_body.rs
@@ -2,6 +2,7 @@
 //! it can be passed on (back-pressure).
 
 use crate::stream::TrackedStream;
+use crate::upload_progress::UploadProgress;
 use bytes::Bytes;
 use hillstall_proxy_core::limits::Reservation;
 use http_body_util::Full;
@@ -98,11 +99,15 @@
         !self.buffered.is_empty()
     }
 
+    /// Number of bytes that have been read and not returned.
+    fn buffered_bytes(&self) -> usize {
+        self.buffered.iter().map(Bytes::len).sum()
+    }
+
     /// Number of bytes still to be returned.
     pub fn size_hint(&self) -> SizeHint {
-        let buffered: usize = self.buffered.iter().map(Bytes::len).sum();
         match self.body.size_hint().exact() {
-            Some(body) => SizeHint::with_exact(buffered as u64 + body),
+            Some(body) => SizeHint::with_exact(self.buffered_bytes() as u64 + body),
             None => SizeHint::default(),
         }
     }
@@ -123,20 +128,27 @@
     waiting_for_client: Cell<bool>,
     /// When an attempt last requested data.
     last_pulled_at: Cell<Instant>,
-    /// Whether the last byte has been read.
-    ended: Cell<bool>,
+    /// When the last byte was read; `None` until then.
+    received_at: Cell<Option<Instant>>,
+    progress: RefCell<UploadProgress>,
     length: Option<u64>,
     _reservation: Reservation,
 }
 
 impl StreamingRequestBody {
-    /// The rest of a body whose client waits for the response for `timeout` after its last byte.
+    /// A body whose client waits for the response for `timeout` after its last byte. The client may have
+    /// written up to `max_in_transit` bytes that have not been read.
     pub fn new(
         client_stream: Rc<TrackedStream>,
         timeout: Duration,
+        max_in_transit: usize,
         remainder: BodyStream,
         reservation: Reservation,
     ) -> Rc<StreamingRequestBody> {
+        let length = remainder.size_hint().exact();
+        let started_at = client_stream.message_started_at().unwrap_or_else(Instant::now);
+        let mut progress = UploadProgress::new(length, max_in_transit as u64, started_at);
+        progress.record(remainder.buffered_bytes() as u64, client_stream.last_read());
         Rc::new(StreamingRequestBody {
             client_stream,
             timeout,
@@ -144,18 +156,14 @@
             fully_passed: Rc::default(),
             waiting_for_client: Cell::new(false),
             last_pulled_at: Cell::new(Instant::now()),
-            ended: Cell::new(false),
-            length: remainder.size_hint().exact(),
+            received_at: Cell::new(None),
+            progress: RefCell::new(progress),
+            length,
             remainder: RefCell::new(Some(remainder)),
             _reservation: reservation,
         })
     }
 
-    /// How long the client waits for the response after the last byte of the body.
-    pub fn timeout(&self) -> Duration {
-        self.timeout
-    }
-
     /// Length of the body in bytes; `None` if it is chunked.
     pub fn length(&self) -> Option<u64> {
         self.length
@@ -174,21 +182,54 @@
 
     /// Whether an attempt waits for the client to send more, rather than for the backend to read.
     pub fn is_waiting_for_client(&self) -> bool {
-        self.waiting_for_client.get() && !self.ended.get()
+        self.waiting_for_client.get() && self.received_at.get().is_none()
     }
 
-    /// When the client stops waiting for the response; `None` while it is still sending the body.
+    /// When the last byte was read; `None` before.
+    pub fn received_at(&self) -> Option<Instant> {
+        self.received_at.get()
+    }
+
+    /// When the client may stop waiting for the response, as far as is known now; `None` if it is certainly
+    /// still sending the body. While the body is being read, this may become later.
     pub fn deadline(&self) -> Option<Instant> {
-        self.ended.get().then(|| self.client_stream.last_read() + self.timeout)
+        if self.is_waiting_for_client() && self.client_stream.is_starved() {
+            return None;
+        }
+        let earliest_end = self.progress.borrow().earliest_end(self.client_stream.starved_at());
+        Some(earliest_end? + self.timeout)
+    }
+
+    /// Number of bytes of the body that have been read from the client.
+    pub fn bytes_read(&self) -> u64 {
+        self.progress.borrow().bytes_read()
+    }
+
+    /// How long the client still waits for the response, as far as is known now.
+    pub fn remaining_time(&self) -> Duration {
+        match self.deadline() {
+            Some(deadline) => deadline.saturating_duration_since(Instant::now()).min(self.timeout),
+            None => self.timeout,
+        }
     }
 
     /// Whether the backend has accepted no more data for `stall_timeout`.
     pub fn is_backend_stalled(&self, stall_timeout: Duration) -> bool {
-        !self.ended.get()
+        self.received_at.get().is_none()
             && !self.waiting_for_client.get()
             && self.last_pulled_at.get().elapsed() >= stall_timeout
     }
 
+    /// Records what was read from the client for an attempt.
+    fn record_read(&self, polled: &Poll<Option<Result<Bytes, Error>>>, is_unread: bool, is_end: bool) {
+        if let (Poll::Ready(Some(Ok(piece))), true) = (polled, is_unread) {
+            self.progress.borrow_mut().record(piece.len() as u64, Instant::now());
+        }
+        if is_end && self.received_at.get().is_none() {
+            self.received_at.set(Some(self.client_stream.last_read()));
+        }
+    }
+
     /// Takes the part that has not been sent, for [`discard`]; `None` if an attempt holds it.
     pub fn take_unsent(&self) -> Option<BodyStream> {
         self.remainder.take()
@@ -246,14 +287,16 @@
             ))));
         };
         source.last_pulled_at.set(Instant::now());
+        let is_unread = !remainder.has_buffered();
         let polled = remainder.poll_data(cx);
         if polled.is_pending() && !source.waiting_for_client.get() {
             // The client's request timeout starts now: until now the attempt waited for the backend to read.
             source.client_stream.restart_read_window();
         }
         source.waiting_for_client.set(polled.is_pending());
-        if matches!(polled, Poll::Ready(None)) || remainder.is_end_stream() {
-            source.ended.set(true);
+        let is_end = matches!(polled, Poll::Ready(None)) || remainder.is_end_stream();
+        source.record_read(&polled, is_unread, is_end);
+        if is_end {
             source.fully_passed.set(true);
         }
         if let Poll::Ready(Some(Ok(piece))) = &polled {
--- a/crates/http1/src/server/body_prefix.rs
+++ b/crates/http1/src/server/body_prefix.rs
@@ -62,6 +62,12 @@
         };
         let stream = BodyStream::new(self.buffer.into_bytes(), remainder, tuning.max_message_bytes);
         let client_stream = connection.stream.clone();
-        ClientRequestBody::Streaming(StreamingRequestBody::new(client_stream, timeout, stream, reservation))
+        ClientRequestBody::Streaming(StreamingRequestBody::new(
+            client_stream,
+            timeout,
+            tuning.max_bytes_in_transit(),
+            stream,
+            reservation,
+        ))
     }
 }
--- a/crates/http1/src/server/request.rs
+++ b/crates/http1/src/server/request.rs
@@ -227,7 +227,7 @@
         .streaming_body
         .borrow()
         .as_ref()
-        .filter(|body| body.deadline().is_none())
+        .filter(|body| body.received_at().is_none())
         .and_then(|body| body.take_unsent());
     let discards_body = unsent.is_some();
     if let Some(unsent) = unsent {
@@ -246,20 +246,19 @@
     streaming_body: Option<Rc<StreamingRequestBody>>,
 ) -> Option<Completion<HttpClient>> {
     loop {
-        // A streamed body has no deadline until its last byte has been received.
+        // That of a streamed body becomes known, and may become later, while the body is read.
         let deadline = match &streaming_body {
             None => Some(deadline),
             Some(body) => body.deadline(),
         };
         let due = deadline.map(|deadline| deadline + RESPONSE_GRACE_PERIOD);
+        if due.is_some_and(|due| due <= Instant::now()) {
+            guard.close();
+            return receiver.await.ok();
+        }
         let until = due.unwrap_or_else(|| Instant::now() + MAINTENANCE_INTERVAL);
-        match timeout_at(until.into(), &mut receiver).await {
-            Ok(completion) => return completion.ok(),
-            Err(_) if due.is_none() => {}
-            Err(_) => {
-                guard.close();
-                return receiver.await.ok();
-            }
+        if let Ok(completion) = timeout_at(until.into(), &mut receiver).await {
+            return completion.ok();
         }
     }
 }
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -36,6 +36,11 @@
     socket: RefCell<TcpStream>,
     last_read: Cell<Instant>,
     message_started_at: Cell<Option<Instant>>,
+    /// When the peer was last known to have more to send of its message: a read found no data, or the first
+    /// after such a read found some.
+    starved_at: Cell<Instant>,
+    /// Whether the last read found no data.
+    is_starved: Cell<bool>,
     /// Whether a message of the peer has ended.
     has_completed_message: Cell<bool>,
     /// Whether the last write could not write everything, because the peer does not read fast enough.
@@ -91,6 +96,8 @@
             socket: RefCell::new(socket),
             last_read: Cell::new(now),
             message_started_at: Cell::new(None),
+            starved_at: Cell::new(now),
+            is_starved: Cell::new(false),
             has_completed_message: Cell::new(false),
             write_blocked: Cell::new(false),
             last_write_progress: Cell::new(now),
@@ -158,9 +165,32 @@
         self.read_window.get().started_at.elapsed()
     }
 
+    /// When the peer was last known to have more to send of its current message, as no data was there to be
+    /// read before the end of it.
+    pub fn starved_at(&self) -> Instant {
+        self.starved_at.get()
+    }
+
+    /// Whether the last read found no data.
+    pub fn is_starved(&self) -> bool {
+        self.is_starved.get()
+    }
+
+    /// Records that a read found no data, which is no news after the end of a message.
+    fn on_starved(&self) {
+        if !self.is_between_messages() {
+            self.starved_at.set(Instant::now());
+        }
+        self.is_starved.set(true);
+    }
+
     fn on_read(&self, bytes: &[u8]) {
         let now = Instant::now();
         self.last_read.set(now);
+        if self.is_starved.take() {
+            // These bytes have just arrived.
+            self.starved_at.set(now);
+        }
         if self.message_started_at.get().is_none() {
             self.message_started_at.set(Some(now));
             // The window of the first message starts with the connection, so that a peer may not idle before
@@ -258,7 +288,11 @@
         let mut read = ReadBuf::uninit(&mut buffer[..capacity]);
         // A read that does not fill the buffer shows tokio that no more data is available, which saves a
         // system call.
-        ready!(Pin::new(&mut *self.0.socket.borrow_mut()).poll_read(cx, &mut read))?;
+        let polled = Pin::new(&mut *self.0.socket.borrow_mut()).poll_read(cx, &mut read);
+        if polled.is_pending() {
+            self.0.on_starved();
+        }
+        ready!(polled)?;
         self.0.on_read(read.filled());
         buf.put_slice(read.filled());
         Poll::Ready(Ok(()))
--- a/crates/proxy-core/src/tuning.rs
+++ b/crates/proxy-core/src/tuning.rs
@@ -51,6 +51,17 @@
     pub log_requests: bool,
 }
 
+/// The systems of a client and of the proxy hold this many times `socket_buffer_bytes` between a write of the
+/// client and a read of the proxy: two buffers, each of which the system doubles.
+const BUFFERS_IN_TRANSIT: usize = 4;
+
+impl Tuning {
+    /// The most bytes that a client is taken to have written and the proxy has not read.
+    pub fn max_bytes_in_transit(&self) -> usize {
+        self.socket_buffer_bytes.saturating_mul(BUFFERS_IN_TRANSIT)
+    }
+}
+
 impl Default for Tuning {
     fn default() -> Tuning {
         let ms = Duration::from_millis;
