A long request is not given up before its client's time is over

Callers got 502 or 503 some tens of milliseconds after the proxy had read the last byte, with time left.

Cause: the timeout of an attempt counted from the last byte that the proxy had read. A slow backend has that byte later, by the 200 KB or so on the way, and a streamed request can't be retried.

Change: the timeout of an attempt doesn't apply to a streamed request. It ends at the client's deadline, or when the backend has read nothing for the stall timeout.

--- a/crates/hillstall/tests/proxy/slow_transfers.rs
+++ b/crates/hillstall/tests/proxy/slow_transfers.rs
@@ -162,3 +162,47 @@
         );
     }
 }
+
+/// Sends a long request in small pieces with a pause after each, through a small buffer, so that its last byte
+/// is written late. Returns the status of the response.
+fn send_slowly(proxy: &Proxy, length: usize, is_chunked: bool, pause: Duration) -> u16 {
+    let framing =
+        if is_chunked { "Transfer-Encoding: chunked".into() } else { format!("Content-Length: {length}") };
+    let head = build_request("keyed", "u1", CLIENT_TIMEOUT_MS, "").replace("Content-Length: 0", &framing);
+    let client = TcpStream::connect(proxy.address).expect("a connection");
+    SockRef::from(&client).set_send_buffer_size(32 * 1024).expect("the buffer is set");
+    client.set_read_timeout(Some(WAIT_TIMEOUT)).expect("the time-out is set");
+    let mut writer = &client;
+    writer.write_all(head.as_bytes()).expect("the head is written");
+    for piece in pattern(length).chunks(5_000) {
+        let chunk = [format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat();
+        writer.write_all(if is_chunked { &chunk } else { piece }).expect("a piece is written");
+        thread::sleep(pause);
+    }
+    writer.write_all(if is_chunked { b"0\r\n\r\n" } else { b"" }).expect("the end is written");
+    read_response(&client).expect("a response").status()
+}
+
+// Guards against an attempt that ends before the client's time is over although its request can't be sent
+// again: the timeout of an attempt counted from the last byte that the proxy had read, which the backend may
+// read much later. A client has its whole time from its last byte on, whether it or the backend is the slower
+// one.
+#[test]
+fn slow_long_request_is_served_if_its_last_byte_is_late() {
+    let slow = slow_reader(2_000_000, 3_000_000);
+    let quick = Backend::answering(OK);
+    let cases = [(slow, 3_000_000, Duration::ZERO), (quick.address, 200_000, Duration::from_millis(80))];
+    for (address, length, pause) in cases {
+        for is_chunked in [false, true] {
+            let discovery =
+                Discovery::start(Some(endpoint_list(5, true, &[endpoint("b0", address, "ready")])));
+            let proxy = Proxy::start(&platform_config(discovery.address, &endpoint_list(0, true, &[])));
+            for n in 0..QUICK_REQUESTS * 10 {
+                let reply = proxy.request(&build_request("keyed", &format!("q{n}"), 8_000, "x"));
+                assert_eq!(reply.status(), 200, "request {n}");
+            }
+            let status = send_slowly(&proxy, length, is_chunked, pause);
+            assert_eq!(status, 200, "{length} bytes, chunked: {is_chunked}");
+        }
+    }
+}
--- a/crates/http1/src/client/attempt.rs
+++ b/crates/http1/src/client/attempt.rs
@@ -32,8 +32,6 @@
     request: &'a ClientRequest,
     /// When the attempt times out; with a streamed body, when the connect times out.
     until: Instant,
-    /// Maximum duration of the attempt; with a streamed body, counted from its last byte.
-    timeout: Duration,
     /// Incremented when the request has been sent completely.
     sent_counter: Counter,
 }
@@ -55,7 +53,7 @@
             ClientRequestBody::Buffered(_) => deadline.min(Instant::now() + timeout),
             ClientRequestBody::Streaming(_) => Instant::now() + self.connect_timeout,
         };
-        let attempt = ActiveAttempt { request: &request, until, timeout, sent_counter };
+        let attempt = ActiveAttempt { request: &request, until, sent_counter };
         loop {
             let is_reused = idle.is_some();
             let connection = match idle.take() {
@@ -217,7 +215,7 @@
     fn remaining_time(&self) -> Duration {
         match &self.request.body {
             ClientRequestBody::Buffered(_) => self.until.saturating_duration_since(Instant::now()),
-            ClientRequestBody::Streaming(body) => body.remaining_time().min(self.timeout),
+            ClientRequestBody::Streaming(body) => body.remaining_time(),
         }
     }
 
@@ -248,6 +246,6 @@
             }
             sleep(STREAMING_POLL_INTERVAL.min(body.remaining_time())).await;
         }
-        sleep(body.remaining_time().min(self.timeout)).await;
+        sleep(body.remaining_time()).await;
     }
 }
--- a/crates/proxy-core/src/transport.rs
+++ b/crates/proxy-core/src/transport.rs
@@ -32,7 +32,7 @@
     pub address: SocketAddr,
     /// When the client stops waiting. Does not apply to a streamed payload, whose deadline is not known yet.
     pub deadline: Instant,
-    /// Maximum duration of the attempt; for a streamed payload it is counted from the last byte.
+    /// Maximum duration of the attempt. Does not apply to a streamed payload, which can't be sent again.
     pub timeout: Duration,
     /// Incremented when the last byte of the request is written.
     pub sent_counter: Counter,
