Memory limits count headers and the buffers of backend connections

With hundreds of slow clients a proxy with 32 MB and 1,024 descriptors passed its limit and was killed.

Cause: the limit counted the bytes of buffered bodies alone. Headers, the buffers of forwarded answers and write buffers that keep the size they once had were not counted.

Change: headers of open requests have a 32nd of the memory; backend connections are limited by a quarter of it at 64 KiB each, so that requests are rejected before they run; an answer without memory is streamed. Bodies go to hyper in pieces of 8 KiB, the next one when the last is written. Of a buffered answer only what is not written is kept.

Evidence: both tests failed before and pass now.

--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -9,6 +9,7 @@
 mod handover;
 mod harness;
 mod idle_resets;
+mod memory_limits;
 mod operations;
 mod operator_file;
 mod operator_settings;
--- a/crates/http1/src/backend_connection.rs
+++ b/crates/http1/src/backend_connection.rs
@@ -152,9 +152,6 @@
     /// The body is longer than the proxy forwards (`messages.longest`).
     #[error("the response is longer than the maximum message size")]
     BodyTooLarge,
-    /// There is no memory left for buffered bodies.
-    #[error("no memory left to buffer the response")]
-    OutOfCapacity,
     /// The body ended early.
     #[error("the response ended early: {0}")]
     Body(#[source] hyper::Error),
@@ -207,13 +204,11 @@
 ) -> Result<ReceivedBody, ExchangeError> {
     let tuning = limits.tuning();
     let may_be_streamed = length.is_streamed(&tuning);
-    let reservation = limits.buffered_bytes.reserve(length.bytes_to_reserve(&tuning)?);
-    // Without memory for it, such a body can still be streamed.
-    if reservation.is_none() && may_be_streamed {
+    // Without memory for it, a body can still be streamed.
+    let Some(mut reservation) = limits.buffered_bytes.reserve(length.bytes_to_reserve(&tuning)?) else {
         let stream = BodyStream::new(Bytes::new(), body, tuning.max_message_bytes);
         return Ok(ReceivedBody::Partial(stream, None));
-    }
-    let mut reservation = reservation.ok_or(ExchangeError::OutOfCapacity)?;
+    };
     let mut buffer = BodyBuffer::new(tuning.max_buffered_body_bytes);
     loop {
         let is_long = length.is_long(&tuning) || buffer.len() > tuning.max_buffered_body_bytes;
--- a/crates/http1/src/body_buffer.rs
+++ b/crates/http1/src/body_buffer.rs
@@ -1,6 +1,15 @@
-//! The buffer in which the pieces of a body are collected.
+//! Buffered bodies: the buffer in which the pieces of a body are collected, and the form in which a body that
+//! was buffered is sent.
 
 use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// Maximum length of a piece of a buffered body when it is sent, in bytes. hyper copies each piece into the
+/// write buffer of the connection, which keeps the size that it once had.
+pub const MAX_PIECE_BYTES: usize = 8 * 1024;
 
 /// A body, or the first part of one, in memory. Each piece is copied into one allocation: a piece that is kept
 /// as it arrives keeps the whole read buffer that it arrived in, so that a body in small pieces would take many
@@ -43,3 +52,40 @@
         self.bytes.into()
     }
 }
+
+/// A complete body in memory, sent in pieces of at most [`MAX_PIECE_BYTES`].
+#[derive(Clone, Default)]
+pub struct BufferedPieces {
+    unsent: Bytes,
+}
+
+impl BufferedPieces {
+    /// A body of which nothing has been sent.
+    pub fn new(bytes: Bytes) -> BufferedPieces {
+        BufferedPieces { unsent: bytes }
+    }
+}
+
+impl Body for BufferedPieces {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.unsent.is_empty() {
+            return Poll::Ready(None);
+        }
+        let length = self.unsent.len().min(MAX_PIECE_BYTES);
+        Poll::Ready(Some(Ok(Frame::data(self.unsent.split_to(length)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.unsent.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.unsent.len() as u64)
+    }
+}
--- a/crates/http1/src/client/forwarding.rs
+++ b/crates/http1/src/client/forwarding.rs
@@ -1,10 +1,10 @@
 //! Conversion of client requests to forwarded requests, and of response heads to outcomes.
 
+use crate::body_buffer::BufferedPieces;
 use crate::message::{ClientRequest, ClientRequestBody, TIMEOUT_HEADER};
 use crate::request_body::AttemptBody;
 use crate::stream::TrackedStream;
 use hillstall_decision::Outcome;
-use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, StatusCode, Uri};
 use std::rc::Rc;
@@ -34,7 +34,9 @@
     stream: &Rc<TrackedStream>,
 ) -> Request<AttemptBody> {
     let mut forwarded = Request::new(match &request.body {
-        ClientRequestBody::Buffered(body) => AttemptBody::Buffered(Full::new(body.bytes.clone())),
+        ClientRequestBody::Buffered(body) => {
+            AttemptBody::Buffered(BufferedPieces::new(body.bytes.clone()), stream.clone())
+        }
         ClientRequestBody::Streaming(body) => AttemptBody::streaming(body, stream.clone()),
     });
     *forwarded.method_mut() = request.method.clone();
--- a/crates/http1/src/client/health_check.rs
+++ b/crates/http1/src/client/health_check.rs
@@ -2,12 +2,14 @@
 
 use super::HttpClient;
 use crate::backend_connection::{BackendConnection, ReceivedBody, ReceivedResponse};
+use crate::body_buffer::BufferedPieces;
 use crate::request_body::AttemptBody;
+use crate::stream::TrackedStream;
 use hillstall_decision::{LoadReport, Outcome};
 use hillstall_proxy_core::transport::AttemptResult;
-use http_body_util::Full;
 use hyper::{header, Request, StatusCode};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Instant;
 use tokio::time::timeout_at;
 
@@ -30,7 +32,8 @@
             Ok(connection) => connection,
             Err(outcome) => return AttemptResult::without_response(outcome),
         };
-        let request = health_check_request(address, if wants_load_report { LOAD_PATH } else { ALIVE_PATH });
+        let path = if wants_load_report { LOAD_PATH } else { ALIVE_PATH };
+        let request = health_check_request(address, path, connection.stream().clone());
         match timeout_at(until.into(), connection.exchange(request, &self.limits)).await {
             Err(_elapsed) => AttemptResult::without_response(Outcome::Timeout),
             Ok(Err(_)) => AttemptResult::without_response(Outcome::Reset),
@@ -64,9 +67,13 @@
     }
 }
 
-fn health_check_request(address: SocketAddr, path: &'static str) -> Request<AttemptBody> {
+fn health_check_request(
+    address: SocketAddr,
+    path: &'static str,
+    stream: Rc<TrackedStream>,
+) -> Request<AttemptBody> {
     Request::get(path)
         .header(header::HOST, address.to_string())
-        .body(AttemptBody::Buffered(Full::default()))
+        .body(AttemptBody::Buffered(BufferedPieces::default(), stream))
         .expect("a constant path and a socket address form a valid request")
 }
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -3,7 +3,7 @@
 use crate::request_body::StreamingRequestBody;
 use crate::response_body::StreamingResponseBody;
 use crate::stream::{RequestBodyLength, TrackedStream};
-use hillstall_proxy_core::limits::BufferedBody;
+use hillstall_proxy_core::limits::{BufferedBody, Reservation};
 use hillstall_proxy_core::transport::RequestPayload;
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::http::uri::PathAndQuery;
@@ -26,6 +26,8 @@
     pub body: ClientRequestBody,
     /// The stream of the client's connection.
     pub client_stream: Rc<TrackedStream>,
+    /// Covers the headers.
+    pub header_memory: Reservation,
 }
 
 /// The body of a [`ClientRequest`].
--- a/crates/http1/src/request_body.rs
+++ b/crates/http1/src/request_body.rs
@@ -1,11 +1,11 @@
 //! Streamed bodies, which are too long to buffer. The writing side pulls them, so that data is read only when
 //! it can be passed on (back-pressure).
 
+use crate::body_buffer::{BufferedPieces, MAX_PIECE_BYTES};
 use crate::stream::TrackedStream;
 use crate::upload_progress::UploadProgress;
 use bytes::Bytes;
 use hillstall_proxy_core::limits::Reservation;
-use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -15,9 +15,6 @@
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
-/// Maximum length of a piece of the part that has been read, in bytes: that of a piece that arrives later.
-const MAX_PIECE_BYTES: usize = 8 * 1024;
-
 /// A request or response body that is streamed: the part that has been read, and the source of the rest.
 pub struct BodyStream {
     /// Read and not returned, in the order of arrival.
@@ -244,8 +241,8 @@
 
 /// The request body as sent by one attempt.
 pub enum AttemptBody {
-    /// A complete body in memory, which can be sent again.
-    Buffered(Full<Bytes>),
+    /// A complete body in memory, which can be sent again, and the stream of the backend connection.
+    Buffered(BufferedPieces, Rc<TrackedStream>),
     /// A streamed body.
     Streaming(StreamedAttemptBody),
 }
@@ -278,6 +275,15 @@
     }
 }
 
+impl AttemptBody {
+    fn backend_stream(&self) -> &Rc<TrackedStream> {
+        match self {
+            AttemptBody::Buffered(_, stream) => stream,
+            AttemptBody::Streaming(body) => &body.backend_stream,
+        }
+    }
+}
+
 impl StreamedAttemptBody {
     fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let source = &self.source;
@@ -347,22 +353,28 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        match &mut *self {
-            AttemptBody::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+        let stream = self.backend_stream().clone();
+        ready!(stream.poll_room_for_piece(cx));
+        let polled = match &mut *self {
+            AttemptBody::Buffered(body, _) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             AttemptBody::Streaming(body) => body.poll_frame(cx),
+        };
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            stream.on_piece_taken(frame.data_ref().map_or(0, Bytes::len));
         }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            AttemptBody::Buffered(body) => body.is_end_stream(),
+            AttemptBody::Buffered(body, _) => body.is_end_stream(),
             AttemptBody::Streaming(body) => body.remainder.as_ref().is_some_and(BodyStream::is_end_stream),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            AttemptBody::Buffered(body) => body.size_hint(),
+            AttemptBody::Buffered(body, _) => body.size_hint(),
             AttemptBody::Streaming(body) => {
                 body.remainder.as_ref().map(BodyStream::size_hint).unwrap_or_default()
             }
--- a/crates/http1/src/server/client_connection.rs
+++ b/crates/http1/src/server/client_connection.rs
@@ -3,7 +3,7 @@
 use super::open_ids::OpenRequestId;
 use crate::request_body::StreamingRequestBody;
 use crate::stream::TrackedStream;
-use hillstall_proxy_core::limits::{BufferedBody, Reservation};
+use hillstall_proxy_core::limits::Reservation;
 use hillstall_proxy_core::tuning::Tuning;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -33,8 +33,9 @@
     pub(super) requests_dispatched: Cell<u64>,
     /// When the client connected, or the last request on this connection ended.
     pub(super) last_used_at: Cell<Instant>,
-    /// The body of the last response, kept until periodic maintenance finds that it has been written.
-    pub(super) last_response: RefCell<Option<BufferedBody>>,
+    /// The memory of the last buffered response, kept until periodic maintenance finds that it has been
+    /// written.
+    pub(super) last_response: RefCell<Option<Reservation>>,
     /// The body of the request in progress, if it is streamed.
     pub(super) streaming_body: RefCell<Option<Rc<StreamingRequestBody>>>,
     /// The id of the request in progress, until its response exists.
--- a/crates/http1/src/server/request.rs
+++ b/crates/http1/src/server/request.rs
@@ -15,7 +15,7 @@
 use hillstall_proxy_core::metrics::{InProgress, RequestOutcome};
 use hillstall_proxy_core::tuning::Tuning;
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, CONNECTION};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION};
 use hyper::{Method, Request, StatusCode};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -27,6 +27,9 @@
 /// request itself.
 const RESPONSE_GRACE_PERIOD: Duration = Duration::from_millis(10);
 
+/// Memory that a header takes in the request and in the attempt that is being sent, besides its text.
+const BYTES_PER_HEADER: usize = 256;
+
 /// Data for the access log record of a request, taken when the request is passed to the driver.
 struct AccessLogContext {
     /// Empty if the access log is off.
@@ -52,6 +55,13 @@
     }
 }
 
+/// The memory of a request that is being read.
+struct RequestMemory {
+    headers: Reservation,
+    /// For the part of the body that may be buffered.
+    body: Reservation,
+}
+
 /// A request that the driver has accepted.
 struct ForwardedRequest {
     guard: RequestGuard<HttpClient>,
@@ -89,9 +99,7 @@
         let must_close =
             result.is_err() || discards_body || (should_close_idle && !connection.has_waiting_request());
         let mut response = result.unwrap_or_else(|error| text_response(error.status(), error.message()));
-        if let Some(open_id) = connection.open_request_id.take() {
-            response.body_mut().keep_open(open_id, connection.stream.clone());
-        }
+        response.body_mut().write_to(connection.stream.clone(), connection.open_request_id.take());
         if must_close {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -118,15 +126,22 @@
         let (metadata, timeout) = self.read_head(&head)?;
         let path = head.uri.path_and_query().ok_or(RequestError::MissingPath)?.clone();
         let tuning = self.limits.tuning();
-        let Some(reservation) = self.reserve_body(&body, &tuning)? else {
+        let Some(memory) = self.reserve_request(&head.headers, &body, &tuning)? else {
             self.metrics.count_outcome(metadata.class, RequestOutcome::Deferred);
             return Ok(self.capacity_rejection());
         };
         let prefix = BodyPrefix::read(body, tuning.max_buffered_body_bytes).await?;
         prefix.check(connection, &head.method)?;
-        let body = prefix.into_request_body(connection, timeout, reservation, &tuning);
+        let body = prefix.into_request_body(connection, timeout, memory.body, &tuning);
         let client_stream = connection.stream.clone();
-        let request = ClientRequest { method: head.method, path, headers: head.headers, body, client_stream };
+        let request = ClientRequest {
+            method: head.method,
+            path,
+            headers: head.headers,
+            body,
+            client_stream,
+            header_memory: memory.headers,
+        };
         let forwarded = match self.forward(connection, metadata, timeout, request, &tuning)? {
             ForwardResult::Accepted(forwarded) => forwarded,
             ForwardResult::Rejected(response) => return Ok(response),
@@ -181,15 +196,22 @@
         }))
     }
 
-    /// Reserves memory for the part of a body that may be buffered; `None` if there is not enough left.
-    fn reserve_body(&self, body: &Incoming, tuning: &Tuning) -> Result<Option<Reservation>, RequestError> {
+    /// Reserves memory for a request; `None` if there is not enough left.
+    fn reserve_request(
+        &self,
+        headers: &HeaderMap,
+        body: &Incoming,
+        tuning: &Tuning,
+    ) -> Result<Option<RequestMemory>, RequestError> {
         let length = body.size_hint().exact();
         if length.is_some_and(|length| length > tuning.max_message_bytes as u64) {
             return Err(RequestError::BodyTooLarge);
         }
         let max_buffered = tuning.max_buffered_body_bytes;
         let needed = length.map_or(max_buffered, |length| (length as usize).min(max_buffered));
-        Ok(self.limits.buffered_bytes.reserve(needed))
+        let headers = self.limits.header_bytes.reserve(headers.len() * BYTES_PER_HEADER);
+        let memory = headers.zip(self.limits.buffered_bytes.reserve(needed));
+        Ok(memory.map(|(headers, body)| RequestMemory { headers, body }))
     }
 
     fn access_log_record(
--- a/crates/http1/src/server/response.rs
+++ b/crates/http1/src/server/response.rs
@@ -3,18 +3,18 @@
 use super::access_log::AccessLogRecord;
 use super::client_connection::ClientConnection;
 use super::open_ids::OpenRequestId;
+use crate::body_buffer::BufferedPieces;
 use crate::message::{BackendResponse, BackendResponseBody};
 use crate::response_body::{StreamingResponseBody, TransferState};
 use crate::stream::TrackedStream;
 use bytes::Bytes;
 use hillstall_proxy_core::metrics::{InProgress, RequestOutcome};
-use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 pub(super) type ClientResponse = Response<ResponseBody>;
 
@@ -25,24 +25,27 @@
     open_request: Option<(InProgress, RequestOutcome)>,
     /// The connection whose request stays in progress until the streamed response has ended.
     pub(super) busy_connection: Option<Rc<ClientConnection>>,
-    /// The id of the request, and the stream on which the response has to be written before it is available
-    /// again.
-    open_id: Option<(OpenRequestId, Rc<TrackedStream>)>,
+    /// The id of the request, which is available again once the response has been written.
+    open_id: Option<OpenRequestId>,
+    /// The stream of the client's connection; `None` until the response is passed to hyper.
+    stream: Option<Rc<TrackedStream>>,
     /// The access log record, if requests are logged.
     pub(super) access_log_record: Option<Box<AccessLogRecord>>,
 }
 
 impl ResponseBody {
-    /// Keeps the id of the request in use until the response has been written to `stream`.
-    pub(super) fn keep_open(&mut self, id: OpenRequestId, stream: Rc<TrackedStream>) {
-        self.open_id = Some((id, stream));
+    /// Ties the response to the stream that it is written to. The id of its request, if it has one, stays in
+    /// use until the response has been written.
+    pub(super) fn write_to(&mut self, stream: Rc<TrackedStream>, id: Option<OpenRequestId>) {
+        self.stream = Some(stream);
+        self.open_id = id;
     }
 }
 
 /// Where the body of a response comes from.
 enum BodySource {
     /// A complete body in memory.
-    Buffered(Full<Bytes>),
+    Buffered(BufferedPieces),
     /// A backend's body, forwarded as it arrives.
     Streaming(Box<StreamingResponseBody>),
 }
@@ -55,10 +58,17 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
-        match &mut self.source {
+        if let Some(stream) = &self.stream {
+            ready!(stream.poll_room_for_piece(cx));
+        }
+        let polled = match &mut self.source {
             BodySource::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             BodySource::Streaming(body) => Pin::new(body).poll_frame(cx),
+        };
+        if let (Some(stream), Poll::Ready(Some(Ok(frame)))) = (&self.stream, &polled) {
+            stream.on_piece_taken(frame.data_ref().map_or(0, Bytes::len));
         }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -97,7 +107,7 @@
         if let Some(connection) = self.busy_connection.take() {
             connection.finish_request();
         }
-        if let Some((id, stream)) = self.open_id.take() {
+        if let Some((id, stream)) = self.open_id.take().zip(self.stream.take()) {
             // The connection still has the end of the body in its write buffer.
             stream.call_when_written(move || drop(id));
         }
@@ -110,6 +120,7 @@
         open_request: None,
         busy_connection,
         open_id: None,
+        stream: None,
         access_log_record: None,
     })
 }
@@ -123,9 +134,9 @@
 ) -> ClientResponse {
     let mut response = match backend_response.body {
         BackendResponseBody::Buffered(body) => {
-            let bytes = body.bytes.clone();
-            connection.last_response.replace(Some(body));
-            response_with(BodySource::Buffered(Full::new(bytes)), None)
+            let (bytes, reservation) = body.into_parts();
+            connection.last_response.replace(Some(reservation));
+            response_with(BodySource::Buffered(BufferedPieces::new(bytes)), None)
         }
         BackendResponseBody::Streaming(body) => {
             response_with(BodySource::Streaming(body), Some(connection.clone()))
@@ -152,7 +163,7 @@
 
 /// A response with a fixed text as its body.
 pub(super) fn text_response(status: StatusCode, text: &'static str) -> ClientResponse {
-    let body = Full::new(Bytes::from_static(text.as_bytes()));
+    let body = BufferedPieces::new(Bytes::from_static(text.as_bytes()));
     let mut response = response_with(BodySource::Buffered(body), None);
     *response.status_mut() = status;
     response
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -1,6 +1,7 @@
 //! A wrapper of a TCP stream that hyper reads and writes. It records when bytes are read, as deadlines depend
 //! on it, and tracks whether the last byte of a request has been sent.
 
+use crate::body_buffer::MAX_PIECE_BYTES;
 use crate::framing::RequestFraming;
 use crate::write_progress::WriteProgress;
 use hillstall_proxy_core::metrics::Counter;
@@ -48,6 +49,10 @@
     last_write_progress: Cell<Instant>,
     /// Called once hyper has written all that it has buffered.
     on_written: RefCell<Vec<Box<dyn FnOnce()>>>,
+    /// Number of bytes of a body that hyper has taken since its write buffer was last empty.
+    unwritten_bytes: Cell<usize>,
+    /// Wakes the task that waits until the write buffer is empty.
+    written_waker: Cell<Option<Waker>>,
     read_window: Cell<ReadWindow>,
     request_progress: RefCell<WriteProgress>,
     /// The framing of the received requests, if the peer is a client.
@@ -102,6 +107,8 @@
             write_blocked: Cell::new(false),
             last_write_progress: Cell::new(now),
             on_written: RefCell::default(),
+            unwritten_bytes: Cell::new(0),
+            written_waker: Cell::new(None),
             read_window: Cell::new(ReadWindow::starting_at(now)),
             request_progress: RefCell::default(),
             framing,
@@ -224,6 +231,31 @@
         self.on_written.borrow_mut().push(Box::new(callback));
     }
 
+    /// Ready when hyper may take another piece of a body: its write buffer has less than a piece. Otherwise
+    /// hyper would take more before it writes, and keep a buffer of that size.
+    pub fn poll_room_for_piece(&self, cx: &Context<'_>) -> Poll<()> {
+        if self.unwritten_bytes.get() < MAX_PIECE_BYTES {
+            return Poll::Ready(());
+        }
+        self.written_waker.set(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+
+    /// Records that hyper has taken `bytes` of a body.
+    pub fn on_piece_taken(&self, bytes: usize) {
+        self.unwritten_bytes.set(self.unwritten_bytes.get() + bytes);
+    }
+
+    /// Called when hyper's write buffer is empty.
+    fn on_all_written(&self) {
+        self.unwritten_bytes.set(0);
+        if let Some(waker) = self.written_waker.take() {
+            waker.wake();
+        }
+        let callbacks = self.on_written.take();
+        callbacks.into_iter().for_each(|callback| callback());
+    }
+
     /// Starts tracking a request that is about to be written. `sent_counter` is incremented when its last
     /// byte is written.
     pub fn begin_request(&self, body: RequestBodyLength, sent_counter: Counter) {
@@ -326,8 +358,7 @@
 
     /// hyper calls this only when its write buffer is empty.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
-        let callbacks = self.0.on_written.take();
-        callbacks.into_iter().for_each(|callback| callback());
+        self.0.on_all_written();
         Poll::Ready(Ok(()))
     }
 
--- a/crates/proxy-core/src/limits.rs
+++ b/crates/proxy-core/src/limits.rs
@@ -11,12 +11,21 @@
 pub const RESERVED_SOCKETS: usize = 32;
 /// Maximum number of connections to the admin address. They use the reserved descriptors.
 pub const MAX_ADMIN_CONNECTIONS: usize = 12;
-/// Buffered bodies may use the total memory divided by this. In transit there are up to three copies of each
-/// byte: in the read buffer, in the forwarded body, and in the write buffer.
+/// Buffered bodies may use the total memory divided by this.
 const BODY_MEMORY_DIVISOR: usize = 4;
+/// The headers of open requests may use the total memory divided by this.
+const HEADER_MEMORY_DIVISOR: usize = 32;
+/// The protocol buffers of backend connections may use the total memory divided by this. The rest of the memory
+/// is for those of client connections, which are kept only while a client is active, and for the program.
+const BACKEND_MEMORY_DIVISOR: usize = 4;
+/// The protocol buffers of a backend connection: two read buffers of 16 KiB, of which one is being passed on, a
+/// write buffer of as much, and the write buffer to the client.
+const BACKEND_CONNECTION_BYTES: usize = 64 * 1024;
 const BYTES_PER_MB: usize = 1 << 20;
 /// Minimum number of sockets for both sides together, so that each side has one.
 const MIN_SOCKETS: usize = 2;
+/// The memory that there always is for the headers of open requests.
+const MIN_HEADER_BYTES: usize = 64 * 1024;
 /// Number of bodies of the maximum buffered size for which there is always memory.
 const MIN_BUFFERED_BODIES: usize = 2;
 
@@ -87,13 +96,18 @@
 pub struct BufferedBody {
     /// The bytes of the body.
     pub bytes: Bytes,
-    _reservation: Reservation,
+    reservation: Reservation,
 }
 
 impl BufferedBody {
     /// A body whose memory is covered by `reservation`.
     pub fn new(bytes: Bytes, reservation: Reservation) -> BufferedBody {
-        BufferedBody { bytes, _reservation: reservation }
+        BufferedBody { bytes, reservation }
+    }
+
+    /// The bytes, and the reservation of their memory.
+    pub fn into_parts(self) -> (Bytes, Reservation) {
+        (self.bytes, self.reservation)
     }
 }
 
@@ -109,6 +123,8 @@
     pub backend_connections: Rc<ResourceQuota>,
     /// Bytes of buffered request and response bodies.
     pub buffered_bytes: Rc<ResourceQuota>,
+    /// Bytes of the headers of open requests.
+    pub header_bytes: Rc<ResourceQuota>,
     tuning: Cell<Tuning>,
     /// Number of other processes of this instance, with which the totals are shared.
     other_processes: Cell<usize>,
@@ -117,6 +133,7 @@
 impl Limits {
     /// Divides the limits given by the platform: a number of file descriptors, and memory in MiB. Clients and
     /// backends get the same number of sockets, because each open request uses one connection on either side.
+    /// With little memory, backends get fewer: each connection to one has buffers of its own.
     pub fn new(sockets: usize, memory_mb: usize) -> Rc<Limits> {
         let limits = Limits {
             total_sockets: sockets,
@@ -124,6 +141,7 @@
             client_connections: ResourceQuota::new(0),
             backend_connections: ResourceQuota::new(0),
             buffered_bytes: ResourceQuota::new(0),
+            header_bytes: ResourceQuota::new(0),
             tuning: Cell::default(),
             other_processes: Cell::default(),
         };
@@ -150,10 +168,12 @@
         let processes = others + 1;
         let sockets = (self.total_sockets / processes).saturating_sub(RESERVED_SOCKETS).max(MIN_SOCKETS);
         let sockets_per_side = sockets / 2;
-        let memory = self.total_memory_mb.saturating_mul(BYTES_PER_MB) / BODY_MEMORY_DIVISOR / processes;
+        let memory = self.total_memory_mb.saturating_mul(BYTES_PER_MB) / processes;
+        let max_backend_connections = memory / BACKEND_MEMORY_DIVISOR / BACKEND_CONNECTION_BYTES;
         let min_memory = MIN_BUFFERED_BODIES * self.tuning().max_buffered_body_bytes;
         self.client_connections.limit.set(sockets_per_side);
-        self.backend_connections.limit.set(sockets_per_side);
-        self.buffered_bytes.limit.set(memory.max(min_memory));
+        self.backend_connections.limit.set(sockets_per_side.min(max_backend_connections.max(1)));
+        self.header_bytes.limit.set((memory / HEADER_MEMORY_DIVISOR).max(MIN_HEADER_BYTES));
+        self.buffered_bytes.limit.set((memory / BODY_MEMORY_DIVISOR).max(min_memory));
     }
 }
