The id of a client that has left stays in use while its request may still run

A request with the id of a client that had just left was run and served, while the first attempt was still at a backend.

Cause: the id was released as soon as nobody waited for the answer.

The conversion from milliseconds that stood twice is one.

Evidence: the test failed before with 200 where 409 was due, and passes now.

--- a/crates/hillstall/src/commands.rs
+++ b/crates/hillstall/src/commands.rs
@@ -18,10 +18,6 @@
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
-/// Number of rounds of ready tasks after which the runtime looks for network events and timers. With tokio's 61, a
-/// connection on which requests are always waiting delays those of all others.
-const EVENT_INTERVAL: u32 = 1;
-
 /// Runs the proxy with the platform's configuration until SIGTERM.
 pub fn run(overrides: SettingOverrides) -> ExitStatus {
     run_proxy(overrides, || config::load(environment_variable))
@@ -70,8 +66,7 @@
     // Declared first and so dropped last. Lines dropped by then are not reported: writing to a reader that is
     // stuck would delay the exit.
     let logs = Logs::start(operator.choice("log.format"), operator.choice("log.level"));
-    let mut builder = Builder::new_current_thread();
-    let runtime = builder.enable_all().event_interval(EVENT_INTERVAL).build().map_err(RunError::Runtime)?;
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime)?;
     let tasks = LocalSet::new();
     tasks.spawn_local(report_dropped_lines(logs.dropped()));
     tasks.block_on(&runtime, proxy::run(config, operator, overrides))
--- a/crates/hillstall/tests/proxy/departed_clients.rs
+++ b/crates/hillstall/tests/proxy/departed_clients.rs
@@ -31,7 +31,7 @@
                     let arrived_at = Instant::now();
                     let Some(request) = Message::read(&mut reader) else { return };
                     let id = request.header("request-id").expect("an id").to_string();
-                    arrivals.lock().unwrap().push((id, arrived_at));
+                    arrivals.lock().expect("the arrivals").push((id, arrived_at));
                     thread::sleep(work);
                     let _ = stream.write_all(OK.as_bytes());
                 }
@@ -61,7 +61,7 @@
 
 /// The time from `closed_at` to each arrival after the time allowed.
 fn late_arrivals(arrivals: &Arrivals, closed_at: Instant) -> Vec<(String, Duration)> {
-    let arrivals = arrivals.lock().unwrap();
+    let arrivals = arrivals.lock().expect("the arrivals");
     let after_close = arrivals.iter().map(|(id, at)| (id.clone(), at.saturating_duration_since(closed_at)));
     after_close.filter(|(_, after)| *after > MAX_START_AFTER_CLOSE).collect()
 }
--- a/crates/hillstall/tests/proxy/request_ids.rs
+++ b/crates/hillstall/tests/proxy/request_ids.rs
@@ -81,3 +81,46 @@
     assert_eq!(proxy.request(&build_request("keyed", ID, 8_000, "x")).status(), 200);
     assert_eq!(backend.request_count(), 2);
 }
+
+/// How long a backend works on the first request of a test.
+const WORK: Duration = Duration::from_millis(900);
+/// Time between two steps of a test, while the first request is at its backend.
+const STEP: Duration = Duration::from_millis(250);
+/// How long clients wait, and how long backends drop a repetition, in these tests.
+const WINDOW: Duration = Duration::from_millis(1_500);
+
+/// A configuration in which clients wait for [`WINDOW`], and backends drop repetitions for as long.
+fn config_with_short_window(discovery: &Discovery) -> String {
+    platform_config(discovery.address, &endpoint_list(0, true, &[]))
+        .replace(r#""Window":9000"#, r#""Window":1500"#)
+}
+
+/// A backend that works on its first request for [`WORK`].
+fn slow_first_backend() -> Backend {
+    Backend::start(|number, stream| {
+        thread::sleep(if number == 0 { WORK } else { Duration::ZERO });
+        stream.write_all(OK.as_bytes()).is_ok()
+    })
+}
+
+// Guards against an id that runs a second time when it comes again after its client has left, while its first
+// attempt may still run.
+#[test]
+fn id_of_a_departed_client_is_rejected_while_it_may_still_run() {
+    let backend = slow_first_backend();
+    let discovery =
+        Discovery::start(Some(endpoint_list(5, true, &[endpoint("b0", backend.address, "ready")])));
+    let proxy = Proxy::start(&config_with_short_window(&discovery));
+    let request = build_request("keyed", ID, WINDOW.as_millis() as u32, "x");
+    let first = connect_and_send(proxy.address, &request);
+    wait_until("the first request runs", || backend.request_count() == 1);
+    drop(first);
+    let left_at = Instant::now();
+    for _ in 0..3 {
+        thread::sleep(STEP);
+        assert_eq!(proxy.request(&request).status(), 409);
+    }
+    wait_until("the id is available again", || proxy.request(&request).status() == 200);
+    assert!(left_at.elapsed() >= WINDOW, "{:?}", left_at.elapsed());
+    assert_eq!(backend.request_count(), 2);
+}
--- a/crates/http1/src/client/mod.rs
+++ b/crates/http1/src/client/mod.rs
@@ -8,6 +8,7 @@
 use crate::backend_connection::BackendConnection;
 use crate::load_report::LoadReportParser;
 use hillstall_decision::{BackendId, ReportField};
+use hillstall_proxy_core::clock::duration_from_ms;
 use hillstall_proxy_core::connect_hedging::ConnectHedging;
 use hillstall_proxy_core::driver::SendPermit;
 use hillstall_proxy_core::limits::Limits;
@@ -19,9 +20,6 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-/// Upper limit of durations taken from the settings, one hour in milliseconds.
-const MAX_DURATION_MS: f64 = 3.6e6;
-
 /// Sends requests to backends over HTTP/1.1.
 pub struct HttpClient {
     pool: RefCell<Pool<BackendId, BackendConnection>>,
@@ -112,10 +110,6 @@
     }
 }
 
-fn duration_from_ms(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.clamp(0.0, MAX_DURATION_MS) / 1000.0)
-}
-
 fn pool_limits(tuning: &Tuning, max_idle: Duration) -> PoolLimits {
     PoolLimits {
         min_reuse_delay: tuning.min_connection_reuse_delay,
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -6,7 +6,7 @@
 mod client_connection;
 mod connection_task;
 mod maintenance;
-mod open_ids;
+pub mod open_ids;
 mod readiness;
 mod request;
 mod request_error;
@@ -17,6 +17,7 @@
 use crate::client::HttpClient;
 use client_connection::ClientConnection;
 use hillstall_decision::{Class, Settings, Tenant};
+use hillstall_proxy_core::clock::duration_from_ms;
 use hillstall_proxy_core::driver::Driver;
 use hillstall_proxy_core::lifecycle::Lifecycle;
 use hillstall_proxy_core::limits::Limits;
@@ -26,7 +27,7 @@
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 /// The HTTP/1.1 server: accepts client connections, validates requests and passes them to the driver.
@@ -85,6 +86,17 @@
         })
     }
 
+    /// The ids of the open requests, which the processes of a proxy exchange during an upgrade.
+    pub fn open_request_ids(&self) -> &OpenRequestIds {
+        &self.open_request_ids
+    }
+
+    /// The longest time for which an id stays in use after its client has left, of all classes.
+    pub fn max_id_retention(&self) -> Duration {
+        let longest = |class: &Class| class.deadline_ms.max(class.dedup_window_ms);
+        duration_from_ms(self.classes.iter().map(longest).fold(0.0, f64::max))
+    }
+
     /// Limits this process to its share of sockets, memory and quotas, while `others` more processes of the
     /// same instance run.
     pub fn apply_resource_share(&self, others: usize) {
--- a/crates/http1/src/server/request.rs
+++ b/crates/http1/src/server/request.rs
@@ -10,6 +10,7 @@
 use crate::client::HttpClient;
 use crate::message::{ClientRequest, ClientRequestBody};
 use crate::request_body::{discard, StreamingRequestBody};
+use hillstall_proxy_core::clock::duration_from_ms;
 use hillstall_proxy_core::driver::{Completion, FinalResponse, RequestGuard, RequestMetadata};
 use hillstall_proxy_core::limits::Reservation;
 use hillstall_proxy_core::metrics::{InProgress, RequestOutcome};
@@ -167,7 +168,9 @@
             return Err(RequestError::ClientLeft);
         }
         let id = single_value(&request.headers, REQUEST_ID).unwrap_or_default();
-        let open_id = self.open_request_ids.register(id).ok_or(RequestError::DuplicateRequestId)?;
+        let retention = self.id_retention(metadata.class, timeout);
+        let open_id =
+            self.open_request_ids.register(id, retention).ok_or(RequestError::DuplicateRequestId)?;
         connection.open_request_id.replace(Some(open_id));
         let streaming_body = match &request.body {
             ClientRequestBody::Streaming(body) => Some(body.clone()),
@@ -196,6 +199,13 @@
         }))
     }
 
+    /// How long the id of a request stays in use after its client has left: while the client would have waited
+    /// for the response, and while backends would drop a repetition.
+    fn id_retention(&self, class: u8, timeout: Duration) -> Duration {
+        let window = self.classes.get(usize::from(class)).map_or(0.0, |class| class.dedup_window_ms);
+        timeout.max(duration_from_ms(window))
+    }
+
     /// Reserves memory for a request; `None` if there is not enough left.
     fn reserve_request(
         &self,
--- a/crates/http1/src/server/response.rs
+++ b/crates/http1/src/server/response.rs
@@ -109,7 +109,7 @@
         }
         if let Some((id, stream)) = self.open_id.take().zip(self.stream.take()) {
             // The connection still has the end of the body in its write buffer.
-            stream.call_when_written(move || drop(id));
+            stream.call_when_written(move || id.answered());
         }
     }
 }
--- a/crates/proxy-core/src/clock.rs
+++ b/crates/proxy-core/src/clock.rs
@@ -33,8 +33,8 @@
     duration.as_secs_f64() * MS_PER_SECOND
 }
 
-/// Converts milliseconds, clamped to between zero and [`MAX_DURATION`]; zero if `ms` is not finite.
-pub(crate) fn duration_from_ms(ms: Millis) -> Duration {
+/// Converts milliseconds, clamped to between zero and one hour; zero if `ms` is not finite.
+pub fn duration_from_ms(ms: Millis) -> Duration {
     if !ms.is_finite() {
         return Duration::ZERO;
     }
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -8,7 +8,7 @@
 //! belong to the protocol. All decisions about requests (admission, backend selection, retries) are made by
 //! the decision module.
 
-mod clock;
+pub mod clock;
 pub mod connect_hedging;
 pub mod discovery;
 pub mod driver;
