The two processes of an upgrade tell each other which request ids are in use

A request with an id that was open at the older process was run and served by the newer one.

Cause: each process knew only its own ids, although the platform takes the two for one proxy.

Change: over the socket of the handover each tells the other its ids, at first all and then each change, a line each. What is open at a process that ends counts as left by its client. An older version ignores the lines and sends none.

Evidence: the test failed before with 200 where 409 was due, with a client that waits and one that has left; it passes now.

--- a/crates/hillstall/src/handover.rs
+++ b/crates/hillstall/src/handover.rs
@@ -1,15 +1,19 @@
 //! The handover from an older process of the same proxy to a newer one during an upgrade. The newer process
 //! connects to a Unix socket of the older one in a shared folder; while the connection is open, each keeps to
-//! half of the proxy's limits.
+//! half of the proxy's limits, and tells the other which request ids are open at it. An id is told as a line:
+//! `+` and the id when it is opened, `-` and the id when it is available again. Unknown lines are ignored.
 
+use hillstall_http1::server::open_ids::IdChange;
 use hillstall_http1::server::HttpServer;
 use std::cell::Cell;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -65,7 +69,7 @@
     /// from then on serves newer processes.
     async fn run(self: Rc<Self>, server: Rc<HttpServer>) {
         if let Some(older) = self.older.take() {
-            wait_until_closed(older).await;
+            share_open_ids(older, &server).await;
             server.apply_resource_share(0);
         }
         let Some(listener) = self.bind_socket() else { return };
@@ -108,7 +112,7 @@
         };
         let _ = timeout(REDUCE_TIMEOUT, until_reduced).await;
         if newer.write_all(&[REDUCED]).await.is_ok() {
-            wait_until_closed(newer).await;
+            share_open_ids(newer, server).await;
         }
         self.has_newer.set(false);
         server.apply_resource_share(0);
@@ -136,8 +140,50 @@
     }
 }
 
-/// Waits until the process at the other end has closed the connection.
-async fn wait_until_closed(mut other: UnixStream) {
-    let mut byte = [0];
-    while matches!(other.read(&mut byte).await, Ok(1)) {}
+/// Exchanges the ids of open requests with the other process until it has closed the connection.
+async fn share_open_ids(mut other: UnixStream, server: &HttpServer) {
+    let ids = server.open_request_ids();
+    let (reader, mut writer) = other.split();
+    let (sender, mut changes) = unbounded_channel();
+    ids.connect_peer(sender);
+    let send_changes = async {
+        while let Some(change) = changes.recv().await {
+            if writer.write_all(&encode_change(&change)).await.is_err() {
+                break;
+            }
+        }
+        // The other process has ended, which the reader notices as well.
+        pending::<()>().await;
+    };
+    let receive_changes = async {
+        let mut lines = BufReader::new(reader).split(b'\n');
+        while let Ok(Some(line)) = lines.next_segment().await {
+            decode_change(&line).into_iter().for_each(|change| ids.on_peer_change(change));
+        }
+    };
+    tokio::select! {
+        () = receive_changes => {}
+        () = send_changes => {}
+    }
+    ids.on_peer_ended(server.max_id_retention());
+}
+
+fn encode_change(change: &IdChange) -> Vec<u8> {
+    let (sign, id) = match change {
+        IdChange::Opened(id) => ('+', id),
+        IdChange::Closed(id) => ('-', id),
+    };
+    format!("{sign}{id}\n").into_bytes()
+}
+
+fn decode_change(line: &[u8]) -> Option<IdChange> {
+    // It is in front of the first line if the wait for it has timed out.
+    let line = line.strip_prefix(&[REDUCED]).unwrap_or(line);
+    let (sign, id) = line.split_first()?;
+    let id = String::from_utf8(id.to_vec()).ok()?;
+    match sign {
+        b'+' => Some(IdChange::Opened(id)),
+        b'-' => Some(IdChange::Closed(id)),
+        _ => None,
+    }
 }
--- a/crates/hillstall/tests/proxy/request_ids.rs
+++ b/crates/hillstall/tests/proxy/request_ids.rs
@@ -124,3 +124,40 @@
     assert!(left_at.elapsed() >= WINDOW, "{:?}", left_at.elapsed());
     assert_eq!(backend.request_count(), 2);
 }
+
+// Guards against an id that is open at the older process of an upgrade and runs again at the newer one, also if
+// its client has left.
+#[test]
+fn id_that_is_open_at_the_older_process_of_an_upgrade_is_rejected() {
+    for leaves in [false, true] {
+        let (finish, may_finish) = mpsc::channel::<()>();
+        let may_finish = Mutex::new(may_finish);
+        let backend = Backend::start(move |number, stream| {
+            if number == 0 {
+                let _ = may_finish.lock().unwrap().recv_timeout(WAIT_TIMEOUT);
+            }
+            stream.write_all(OK.as_bytes()).is_ok()
+        });
+        let discovery =
+            Discovery::start(Some(endpoint_list(5, true, &[endpoint("b0", backend.address, "ready")])));
+        let config = config_with_short_window(&discovery);
+        let (older, _) = Proxy::start_with_admin(&config);
+        let request = build_request("keyed", ID, 20_000, "x");
+        let mut first = Some(connect_and_send(older.address, &request));
+        wait_until("the first request runs", || backend.request_count() == 1);
+        if leaves {
+            first = None;
+        }
+        let (newer, _) = older.start_newer(&config);
+        older.terminate();
+        thread::sleep(STEP);
+        // The older process accepts no connections any more.
+        assert_eq!(newer.request(&request).status(), 409, "the client leaves: {leaves}");
+        assert_eq!(backend.request_count(), 1);
+        finish.send(()).expect("the backend waits");
+        if let Some(first) = first {
+            assert_eq!(read_response(&first).expect("a response").status(), 200);
+            wait_until("the id is available again", || newer.request(&request).status() == 200);
+        }
+    }
+}
