A backend whose address a new process has taken over counts as gone

Requests for a backend that had gone reached the new process at its address, which got the share of two.

Cause: discovery may tell the start of a new process before the end of the old one, or never tell that. The directory knows backends by name, and nothing looked whether two stand at one address.

Change: the directory knows the listener of each address. Of two names at one the process that started earlier counts as gone, by since_ms, or else the one known before, until the new one is no longer listed. A log line names it.

--- a/crates/proxy-core/src/endpoints.rs
+++ b/crates/proxy-core/src/endpoints.rs
@@ -87,6 +87,10 @@
     /// Index of the zone in the settings; `u16::MAX` if the settings don't have it.
     pub zone: u16,
     started_at_ms: Option<f64>,
+    /// The last entry of the backend as input of the decision module.
+    info: BackendInfo,
+    /// The backend whose process has taken over the address of this one.
+    replaced_by: Option<BackendId>,
     /// When a list first showed this process as draining after one had shown it as ready; `None` if none did.
     draining_since: Option<Instant>,
 }
@@ -131,6 +135,8 @@
     ids: FxHashMap<String, BackendId>,
     names: FxHashMap<BackendId, String>,
     addresses: FxHashMap<BackendId, BackendAddress>,
+    /// The backend that listens at an address, by the newest entry with that address.
+    listeners: FxHashMap<SocketAddr, BackendId>,
 }
 
 /// The 64-bit FNV-1a hash. Backend ids depend on it, and must be equal in all instances and after a restart.
@@ -181,9 +187,67 @@
         for endpoint in &list.endpoints {
             self.apply_endpoint(endpoint, now, &mut changes);
         }
+        for endpoint in &list.endpoints {
+            self.replace_listener(endpoint, list, &mut changes);
+        }
         changes
     }
 
+    /// Marks the backend whose address a new process has taken over as gone: whatever is sent there reaches the
+    /// new process. Discovery may tell the end of the old one later, or never.
+    fn replace_listener(&mut self, endpoint: &Endpoint, list: &EndpointList, changes: &mut EndpointChanges) {
+        let id = self.id(&endpoint.name);
+        if self.addresses.get(&id).is_none_or(|address| address.state == BackendState::Gone) {
+            return;
+        }
+        let previous = self.listeners.get(&endpoint.address).copied().filter(|previous| *previous != id);
+        let Some(earlier) = previous.and_then(|previous| self.current_listener(previous, endpoint)) else {
+            self.listeners.insert(endpoint.address, id);
+            return;
+        };
+        let started_later = endpoint.started_at_ms().zip(earlier.started_at_ms).map(|(new, old)| new > old);
+        let is_listed =
+            || list.endpoints.iter().any(|other| self.ids.get(&other.name) == Some(&earlier.info.id));
+        let gone = match started_later {
+            Some(true) => earlier.info.id,
+            Some(false) => id,
+            // A list that names both as alive doesn't tell which one is the newer.
+            None if is_listed() => return,
+            None => earlier.info.id,
+        };
+        let listener = if gone == id { earlier.info.id } else { id };
+        self.listeners.insert(endpoint.address, listener);
+        self.mark_replaced(gone, listener, changes);
+    }
+
+    /// The backend that has replaced the process of `endpoint` and is still listed at its address.
+    fn replacement(&self, id: BackendId, endpoint: &Endpoint) -> Option<BackendId> {
+        let known = self.addresses.get(&id)?;
+        let is_same = known.address == endpoint.address && known.started_at_ms == endpoint.started_at_ms();
+        let replacement = known.replaced_by.filter(|_| is_same)?;
+        self.current_listener(replacement, endpoint).map(|_| replacement)
+    }
+
+    /// The backend `id`, if it is still listed as listening at the address of `endpoint`.
+    fn current_listener(&self, id: BackendId, endpoint: &Endpoint) -> Option<BackendAddress> {
+        let address = self.addresses.get(&id).copied()?;
+        (address.address == endpoint.address && address.state != BackendState::Gone).then_some(address)
+    }
+
+    /// Marks a backend as gone, for the decision module as well.
+    fn mark_replaced(&mut self, id: BackendId, listener: BackendId, changes: &mut EndpointChanges) {
+        let Some(address) = self.addresses.get_mut(&id) else { return };
+        address.state = BackendState::Gone;
+        address.replaced_by = Some(listener);
+        tracing::info!(
+            backend = self.names.get(&id).map(String::as_str),
+            address = %address.address,
+            "discovery: another process listens at the address of a backend, which counts as gone"
+        );
+        changes.stale.push(id);
+        changes.backends.push(BackendInfo { state: BackendState::Gone, ..address.info });
+    }
+
     /// Marks the backends that a full list does not contain as gone.
     fn mark_missing_as_gone(&mut self, list: &EndpointList, changes: &mut EndpointChanges) {
         let listed: FxHashSet<&str> = list.endpoints.iter().map(|endpoint| endpoint.name.as_str()).collect();
@@ -197,13 +261,28 @@
 
     fn apply_endpoint(&mut self, endpoint: &Endpoint, now: Instant, changes: &mut EndpointChanges) {
         let id = self.id(&endpoint.name);
-        let state = BackendState::from(endpoint.status);
+        let replaced_by = self.replacement(id, endpoint);
+        let state = match replaced_by {
+            // A list that is older than the news of the replacement.
+            Some(_) => BackendState::Gone,
+            None => BackendState::from(endpoint.status),
+        };
         let zone = position(&self.zones, &endpoint.zone).map_or(UNKNOWN_ZONE, |index| index as u16);
         let kind = position(&self.machine_kinds, &endpoint.machine_kind)
             .map_or(UNKNOWN_MACHINE_KIND, |index| index as u8);
         let started_at_ms = endpoint.started_at_ms();
+        let info = BackendInfo {
+            id,
+            zone,
+            kind,
+            cell: endpoint.group,
+            state,
+            rating: endpoint.weight,
+            started_at: started_at_ms,
+        };
+        let address = endpoint.address;
         let mut address =
-            BackendAddress { address: endpoint.address, state, zone, started_at_ms, draining_since: None };
+            BackendAddress { address, state, zone, started_at_ms, info, replaced_by, draining_since: None };
         let previous = self.addresses.get(&id).copied();
         let same_process = previous.filter(|previous| address.is_same_process(previous));
         let was_ready = same_process.is_some_and(|previous| previous.state == BackendState::Ready);
@@ -217,15 +296,7 @@
             }
         }
         self.addresses.insert(id, address);
-        changes.backends.push(BackendInfo {
-            id,
-            zone,
-            kind,
-            cell: endpoint.group,
-            state,
-            rating: endpoint.weight,
-            started_at: started_at_ms,
-        });
+        changes.backends.push(info);
     }
 
     /// Removes the backends that are gone and not in use. Backends are replaced again and again while a proxy
@@ -234,6 +305,7 @@
         self.addresses.retain(|id, address| address.state != BackendState::Gone || in_use(*id));
         self.names.retain(|id, _| self.addresses.contains_key(id));
         self.ids.retain(|_, id| self.addresses.contains_key(id));
+        self.listeners.retain(|_, id| self.addresses.contains_key(id));
     }
 
     /// Sizes of the address, name and id tables, for tests of [`EndpointDirectory::remove_gone`].
--- a/crates/proxy-core/tests/endpoints.rs
+++ b/crates/proxy-core/tests/endpoints.rs
@@ -120,3 +120,51 @@
     let backends = EndpointDirectory::default().apply(&list, Instant::now()).backends;
     assert_eq!(backends[0].state, BackendState::Draining);
 }
+
+/// An endpoint list with these (name, address, start in milliseconds) entries, all of them ready.
+fn list_with_starts(snapshot: bool, entries: &[(&str, &str, u32)]) -> EndpointList {
+    let endpoints = entries.iter().map(|(name, address, since_ms)| {
+        let entry = serde_json::json!(
+            { "name": name, "address": address, "status": "ready", "since_ms": since_ms });
+        serde_json::from_value(entry).expect("a valid endpoint entry")
+    });
+    EndpointList { version: 1, is_snapshot: snapshot, endpoints: endpoints.collect() }
+}
+
+// Guards against requests for a backend that has gone, sent to the new process at its address: the end of the old
+// one may be told later than the start of the new one, or never.
+#[test]
+fn new_process_at_the_address_of_a_backend_replaces_it() {
+    for starts in [[0, 0], [0, 2_000], [1_000, 2_000]] {
+        let (mut directory, now) = (EndpointDirectory::default(), Instant::now());
+        let first = directory.apply(&list_with_starts(true, &[("old", "127.0.0.1:1", starts[0])]), now);
+        let old = first.backends[0].id;
+        let changes = directory.apply(&list_with_starts(false, &[("new", "127.0.0.1:1", starts[1])]), now);
+        let new = changes.backends[0].id;
+        let states: Vec<_> = changes.backends.iter().map(|backend| (backend.id, backend.state)).collect();
+        assert_eq!(states, [(new, BackendState::Ready), (old, BackendState::Gone)], "{starts:?}");
+        assert_eq!(changes.stale, [old], "its idle connections are closed");
+        let state = |id| directory.backend(id).map(|backend| backend.state);
+        assert_eq!((state(old), state(new)), (Some(BackendState::Gone), Some(BackendState::Ready)));
+        // Neither a list from before, nor the late news of the end of the old one, changes that.
+        let entries = [("old", "127.0.0.1:1", starts[0]), ("new", "127.0.0.1:1", starts[1])];
+        directory.apply(&list_with_starts(true, &entries), now);
+        let state = |id| directory.backend(id).map(|backend| backend.state);
+        assert_eq!((state(old), state(new)), (Some(BackendState::Gone), Some(BackendState::Ready)));
+        directory.apply(&list(false, &[("old", "127.0.0.1:1", "gone")]), now);
+        assert_eq!(directory.backend(new).map(|backend| backend.state), Some(BackendState::Ready));
+    }
+}
+
+// The start times tell which of two processes is the newer, in whatever order they are told.
+#[test]
+fn late_news_of_an_older_process_does_not_replace_a_newer_one() {
+    let (mut directory, now) = (EndpointDirectory::default(), Instant::now());
+    let entries = [("new", "127.0.0.1:1", 2_000), ("old", "127.0.0.1:1", 1_000)];
+    let changes = directory.apply(&list_with_starts(true, &entries), now);
+    let (new, old) = (changes.backends[0].id, changes.backends[1].id);
+    let state = |id| directory.backend(id).map(|backend| backend.state);
+    assert_eq!((state(new), state(old)), (Some(BackendState::Ready), Some(BackendState::Gone)));
+    let last = changes.backends.last().expect("an entry");
+    assert_eq!((last.id, last.state), (old, BackendState::Gone));
+}
