Load reports under ever new names take bounded memory

Cause: samples of a site were never dropped, and reports of expired ranks only where a lease holder asked for the load.

Change: at most 4,096 instances, expired ones make room; at most 1,024 sites a report, and beyond 1,024 the samples of those without a recent report are dropped.

--- a/crates/consensus/src/load_reports.rs
+++ b/crates/consensus/src/load_reports.rs
@@ -26,6 +26,12 @@
 /// A higher [`SiteCounts::utilization_percent`] means that the backends do not report their utilization.
 const MAX_UTILIZATION_PERCENT: u8 = 100;
 
+/// The maximum number of instances whose reports are kept. Reports of further ones are ignored until older ones
+/// have expired.
+const MAX_INSTANCES: usize = 4_096;
+/// The maximum number of sites in a report, and of sites whose samples are kept without a recent report.
+const MAX_SITES: usize = 1_024;
+
 /// An instance's counts for one site, over the period of the report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SiteCounts {
@@ -145,11 +151,22 @@
     pub fn record(&mut self, now: Millis, report: LoadReport) {
         let Some(instance) = report.instance else { return };
         let made_at = now.saturating_sub(u64::from(report.age_ms));
+        if report.sites.len() > MAX_SITES || !self.has_capacity_for(now, instance.rank) {
+            return;
+        }
         if self.latest.get(&instance.rank).is_none_or(|known| known.made_at < made_at) {
             self.latest.insert(instance.rank, ReceivedReport { report, made_at });
         }
     }
 
+    /// Whether the report of this rank can be kept, if need be after dropping those that have expired.
+    fn has_capacity_for(&mut self, now: Millis, rank: u32) -> bool {
+        if self.latest.len() >= MAX_INSTANCES && !self.latest.contains_key(&rank) {
+            self.latest.retain(|_, received| received.age(now) < INSTANCE_TTL_MS);
+        }
+        self.latest.len() < MAX_INSTANCES || self.latest.contains_key(&rank)
+    }
+
     /// The recent reports of the selected instances, each with its age at `now`.
     pub fn recent(&self, now: Millis, is_selected: impl Fn(Instance) -> bool) -> Vec<LoadReport> {
         let recent = self.recent_entries(now);
@@ -201,6 +218,9 @@
         if is_due {
             self.sampled_at = now;
         }
+        if self.samples.len() > MAX_SITES {
+            self.samples.retain(|site, _| totals.contains_key(site));
+        }
         for (site, totals) in totals {
             let samples = self.samples.entry(site.clone()).or_default();
             if is_due || samples.is_empty() {
--- a/crates/consensus/tests/load_reports.rs
+++ b/crates/consensus/tests/load_reports.rs
@@ -40,3 +40,31 @@
         assert_eq!((load.min_fraction, load.fraction), (min_fraction, fraction), "{fractions:?}");
     }
 }
+
+// Guards against memory that grows with every new name: of sites in the reports of one instance, and of
+// instances.
+#[test]
+fn reports_under_ever_new_names_take_bounded_memory() {
+    /// Far above the number of names that are kept.
+    const NAMES: u32 = 20_000;
+    let report = |rank: u32, site: String| LoadReport {
+        instance: Some(Instance { rank, incarnation: 1 }),
+        period_ms: REPORT_PERIOD_MS,
+        sites: [(site, SiteCounts::default())].into(),
+        ..LoadReport::default()
+    };
+    let (mut by_site, mut by_rank) = (LoadReports::default(), LoadReports::default());
+    for name in 0..NAMES {
+        by_site.record(u64::from(name), report(1, format!("site-{name}")));
+        by_site.fleet_load(u64::from(name));
+        by_rank.record(0, report(name, "north".to_owned()));
+    }
+    // What is kept, as text, is far shorter than with all names.
+    for (reports, max_length, what) in [(&by_rank, 2_500_000, "instances"), (&by_site, 100_000, "sites")] {
+        let length = format!("{reports:?}").len();
+        assert!(length < max_length, "{what}: {length} bytes as text");
+    }
+    let mut full = by_rank.clone();
+    full.record(100_000, report(NAMES, "south".to_owned()));
+    assert!(full.min_fractions(100_000).contains_key("south"), "expired reports make room");
+}
