--- a/crates/http1/src/backend_connection.rs
+++ b/crates/http1/src/backend_connection.rs
@@ -1,7 +1,8 @@
 //! One connection to a backend, and the request-response exchanges on it.
 
 use crate::body_buffer::BodyBuffer;
-use crate::request_body::{AttemptBody, BodyStream};
+use crate::body_stream::BodyStream;
+use crate::request_body::AttemptBody;
 use crate::stream::{HyperStream, TrackedStream, READ_BUFFER_BYTES};
 use bytes::Bytes;
 use hillstall_proxy_core::limits::{BufferedBody, Limits, Reservation};
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod backend_connection;
 pub mod body_buffer;
+pub mod body_stream;
 pub mod client;
 pub mod discovery;
 pub mod framing;
--- a/crates/http1/src/response_body.rs
+++ b/crates/http1/src/response_body.rs
@@ -2,7 +2,7 @@
 //! it arrives on.
 
 use crate::backend_connection::BackendConnection;
-use crate::request_body::BodyStream;
+use crate::body_stream::BodyStream;
 use bytes::Bytes;
 use hillstall_proxy_core::limits::Reservation;
 use hyper::body::{Body, Frame, SizeHint};
--- a/crates/http1/src/server/body_prefix.rs
+++ b/crates/http1/src/server/body_prefix.rs
@@ -4,8 +4,9 @@
 use super::client_connection::ClientConnection;
 use super::request_error::RequestError;
 use crate::body_buffer::BodyBuffer;
+use crate::body_stream::BodyStream;
 use crate::message::ClientRequestBody;
-use crate::request_body::{BodyStream, StreamingRequestBody};
+use crate::request_body::StreamingRequestBody;
 use hillstall_proxy_core::limits::{BufferedBody, Reservation};
 use hillstall_proxy_core::tuning::Tuning;
 use http_body_util::BodyExt;
