An older full list does not bring back a backend whose address was taken over

Cause: that a backend was replaced stood in its own record, which the directory drops as soon as nothing uses it.

Change: the record of the address keeps it, with the backend that listens there. The check that stood beside is_same_process and the field are gone.

Evidence: the test now forgets unused backends between the two lists, as the driver does; it failed before and passes now.

--- a/crates/proxy-core/src/endpoints.rs
+++ b/crates/proxy-core/src/endpoints.rs
@@ -89,8 +89,6 @@
     started_at_ms: Option<f64>,
     /// The last entry of the backend as input of the decision module.
     info: BackendInfo,
-    /// The backend whose process has taken over the address of this one.
-    replaced_by: Option<BackendId>,
     /// When a list first showed this process as draining after one had shown it as ready; `None` if none did.
     draining_since: Option<Instant>,
 }
@@ -135,8 +133,15 @@
     ids: FxHashMap<String, BackendId>,
     names: FxHashMap<BackendId, String>,
     addresses: FxHashMap<BackendId, BackendAddress>,
-    /// The backend that listens at an address, by the newest entry with that address.
-    listeners: FxHashMap<SocketAddr, BackendId>,
+    /// What listens at an address, by the newest entry with that address.
+    listeners: FxHashMap<SocketAddr, Listener>,
+}
+
+/// The backend that listens at an address.
+struct Listener {
+    backend: BackendId,
+    /// The backend whose process it has replaced there. Kept here because a backend that is gone is forgotten.
+    replaced: Option<BackendId>,
 }
 
 /// The 64-bit FNV-1a hash. Backend ids depend on it, and must be equal in all instances and after a restart.
@@ -200,9 +205,14 @@
         if self.addresses.get(&id).is_none_or(|address| address.state == BackendState::Gone) {
             return;
         }
-        let previous = self.listeners.get(&endpoint.address).copied().filter(|previous| *previous != id);
-        let Some(earlier) = previous.and_then(|previous| self.current_listener(previous, endpoint)) else {
-            self.listeners.insert(endpoint.address, id);
+        let known = self.listeners.get(&endpoint.address);
+        if known.is_some_and(|listener| listener.backend == id) {
+            return;
+        }
+        let replaced = known.and_then(|listener| listener.replaced);
+        let Some(earlier) = known.and_then(|listener| self.current_listener(listener.backend, endpoint))
+        else {
+            self.listeners.insert(endpoint.address, Listener { backend: id, replaced: None });
             return;
         };
         let started_later = endpoint.started_at_ms().zip(earlier.started_at_ms).map(|(new, old)| new > old);
@@ -211,21 +221,15 @@
         let gone = match started_later {
             Some(true) => earlier.info.id,
             Some(false) => id,
+            None if !is_listed() => earlier.info.id,
+            // A list from before the news of the replacement.
+            None if replaced == Some(id) => id,
             // A list that names both as alive doesn't tell which one is the newer.
-            None if is_listed() => return,
-            None => earlier.info.id,
+            None => return,
         };
-        let listener = if gone == id { earlier.info.id } else { id };
-        self.listeners.insert(endpoint.address, listener);
-        self.mark_replaced(gone, listener, changes);
-    }
-
-    /// The backend that has replaced the process of `endpoint` and is still listed at its address.
-    fn replacement(&self, id: BackendId, endpoint: &Endpoint) -> Option<BackendId> {
-        let known = self.addresses.get(&id)?;
-        let is_same = known.address == endpoint.address && known.started_at_ms == endpoint.started_at_ms();
-        let replacement = known.replaced_by.filter(|_| is_same)?;
-        self.current_listener(replacement, endpoint).map(|_| replacement)
+        let backend = if gone == id { earlier.info.id } else { id };
+        self.listeners.insert(endpoint.address, Listener { backend, replaced: Some(gone) });
+        self.mark_replaced(gone, replaced != Some(gone), changes);
     }
 
     /// The backend `id`, if it is still listed as listening at the address of `endpoint`.
@@ -235,15 +239,16 @@
     }
 
     /// Marks a backend as gone, for the decision module as well.
-    fn mark_replaced(&mut self, id: BackendId, listener: BackendId, changes: &mut EndpointChanges) {
+    fn mark_replaced(&mut self, id: BackendId, is_news: bool, changes: &mut EndpointChanges) {
         let Some(address) = self.addresses.get_mut(&id) else { return };
         address.state = BackendState::Gone;
-        address.replaced_by = Some(listener);
-        tracing::info!(
-            backend = self.names.get(&id).map(String::as_str),
-            address = %address.address,
-            "discovery: another process listens at the address of a backend, which counts as gone"
-        );
+        if is_news {
+            tracing::info!(
+                backend = self.names.get(&id).map(String::as_str),
+                address = %address.address,
+                "discovery: another process listens at the address of a backend, which counts as gone"
+            );
+        }
         changes.stale.push(id);
         changes.backends.push(BackendInfo { state: BackendState::Gone, ..address.info });
     }
@@ -261,12 +266,7 @@
 
     fn apply_endpoint(&mut self, endpoint: &Endpoint, now: Instant, changes: &mut EndpointChanges) {
         let id = self.id(&endpoint.name);
-        let replaced_by = self.replacement(id, endpoint);
-        let state = match replaced_by {
-            // A list that is older than the news of the replacement.
-            Some(_) => BackendState::Gone,
-            None => BackendState::from(endpoint.status),
-        };
+        let state = BackendState::from(endpoint.status);
         let zone = position(&self.zones, &endpoint.zone).map_or(UNKNOWN_ZONE, |index| index as u16);
         let kind = position(&self.machine_kinds, &endpoint.machine_kind)
             .map_or(UNKNOWN_MACHINE_KIND, |index| index as u8);
@@ -281,8 +281,7 @@
             started_at: started_at_ms,
         };
         let address = endpoint.address;
-        let mut address =
-            BackendAddress { address, state, zone, started_at_ms, info, replaced_by, draining_since: None };
+        let mut address = BackendAddress { address, state, zone, started_at_ms, info, draining_since: None };
         let previous = self.addresses.get(&id).copied();
         let same_process = previous.filter(|previous| address.is_same_process(previous));
         let was_ready = same_process.is_some_and(|previous| previous.state == BackendState::Ready);
@@ -305,7 +304,7 @@
         self.addresses.retain(|id, address| address.state != BackendState::Gone || in_use(*id));
         self.names.retain(|id, _| self.addresses.contains_key(id));
         self.ids.retain(|_, id| self.addresses.contains_key(id));
-        self.listeners.retain(|_, id| self.addresses.contains_key(id));
+        self.listeners.retain(|_, listener| self.addresses.contains_key(&listener.backend));
     }
 
     /// Sizes of the address, name and id tables, for tests of [`EndpointDirectory::remove_gone`].
--- a/crates/proxy-core/tests/endpoints.rs
+++ b/crates/proxy-core/tests/endpoints.rs
@@ -146,7 +146,9 @@
         assert_eq!(changes.stale, [old], "its idle connections are closed");
         let state = |id| directory.backend(id).map(|backend| backend.state);
         assert_eq!((state(old), state(new)), (Some(BackendState::Gone), Some(BackendState::Ready)));
-        // Neither a list from before, nor the late news of the end of the old one, changes that.
+        // Neither a list from before, nor the late news of the end of the old one, changes that, although the
+        // old one is forgotten as soon as nothing uses it.
+        directory.remove_gone(|_| false);
         let entries = [("old", "127.0.0.1:1", starts[0]), ("new", "127.0.0.1:1", starts[1])];
         directory.apply(&list_with_starts(true, &entries), now);
         let state = |id| directory.backend(id).map(|backend| backend.state);
