Pieces of bodies go to hyper through one function, and other logic that stood twice is one

Request and response bodies had the same code around each piece; the latest start of a response was what is left of the time, computed again; aborting a request, and dropping expired reports, stood three times and twice.

Change: TrackedStream::poll_piece, ClientConnection::abort, LoadReports::drop_expired; last_response_start is gone. Behaviour is unchanged, and so are all tests.

--- a/crates/consensus/src/load_reports.rs
+++ b/crates/consensus/src/load_reports.rs
@@ -161,10 +161,17 @@
 
     /// Whether the report of this rank can be kept, if need be after dropping those that have expired.
     fn has_capacity_for(&mut self, now: Millis, rank: u32) -> bool {
-        if self.latest.len() >= MAX_INSTANCES && !self.latest.contains_key(&rank) {
-            self.latest.retain(|_, received| received.age(now) < INSTANCE_TTL_MS);
+        if self.latest.contains_key(&rank) {
+            return true;
         }
-        self.latest.len() < MAX_INSTANCES || self.latest.contains_key(&rank)
+        if self.latest.len() >= MAX_INSTANCES {
+            self.drop_expired(now);
+        }
+        self.latest.len() < MAX_INSTANCES
+    }
+
+    fn drop_expired(&mut self, now: Millis) {
+        self.latest.retain(|_, received| received.age(now) < INSTANCE_TTL_MS);
     }
 
     /// The recent reports of the selected instances, each with its age at `now`.
@@ -179,7 +186,7 @@
     /// The load of all sites, from which the steps of a traffic shift are decided. Also takes the samples
     /// that are due. The caller fills in [`FleetLoad::blocker`].
     pub fn fleet_load(&mut self, now: Millis) -> FleetLoad {
-        self.latest.retain(|_, received| received.age(now) < INSTANCE_TTL_MS);
+        self.drop_expired(now);
         let known_instances = self.latest.len().max(1);
         let reporting_instances = self.recent_entries(now).count();
         let totals = self.site_totals(now);
--- a/crates/hillstall/src/handover.rs
+++ b/crates/hillstall/src/handover.rs
@@ -158,7 +158,9 @@
     let receive_changes = async {
         let mut lines = BufReader::new(reader).split(b'\n');
         while let Ok(Some(line)) = lines.next_segment().await {
-            decode_change(&line).into_iter().for_each(|change| ids.on_peer_change(change));
+            if let Some(change) = decode_change(&line) {
+                ids.on_peer_change(change);
+            }
         }
     };
     tokio::select! {
--- a/crates/http1/src/client/attempt.rs
+++ b/crates/http1/src/client/attempt.rs
@@ -125,7 +125,7 @@
             response = connection.send(request) => response.map_err(|_| AttemptError::ExchangeFailed)?,
             () = attempt.wait_for_timeout(tuning.stall_timeout) => return Err(AttemptError::TimedOut),
         };
-        let stream_at = attempt.last_response_start().min(Instant::now() + tuning.max_unsized_buffering);
+        let stream_at = Instant::now() + attempt.remaining_time().min(tuning.max_unsized_buffering);
         let is_streamed = response.may_be_streamed(&tuning);
         let response = connection.read_body(response, stream_at, &self.limits);
         tokio::select! {
@@ -219,14 +219,6 @@
         }
     }
 
-    /// The latest time for the beginning of the response.
-    fn last_response_start(&self) -> Instant {
-        match &self.request.body {
-            ClientRequestBody::Buffered(_) => self.until,
-            ClientRequestBody::Streaming(body) => Instant::now() + body.remaining_time(),
-        }
-    }
-
     /// Waits until the attempt must end. With a buffered body that is at `until`. With a streamed body, which
     /// could not be sent again, it is at the client's deadline, or when the backend has not read for
     /// `stall_timeout`.
--- a/crates/http1/src/request_body.rs
+++ b/crates/http1/src/request_body.rs
@@ -11,7 +11,7 @@
 use std::io::Error;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 /// A request body that is forwarded as it arrives. Data is kept until the first byte of the request has been
@@ -131,7 +131,8 @@
         }
     }
 
-    /// Takes the part that has not been sent, for [`discard`](crate::body_stream::discard); `None` if an attempt holds it.
+    /// Takes the part that has not been sent, for [`discard`](crate::body_stream::discard); `None` if an
+    /// attempt holds it.
     pub fn take_unsent(&self) -> Option<BodyStream> {
         self.remainder.take()
     }
@@ -173,15 +174,6 @@
     }
 }
 
-impl AttemptBody {
-    fn backend_stream(&self) -> &Rc<TrackedStream> {
-        match self {
-            AttemptBody::Buffered(_, stream) => stream,
-            AttemptBody::Streaming(body) => &body.backend_stream,
-        }
-    }
-}
-
 impl StreamedAttemptBody {
     fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let source = &self.source;
@@ -251,16 +243,15 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        let stream = self.backend_stream().clone();
-        ready!(stream.poll_room_for_piece(cx));
-        let polled = match &mut *self {
-            AttemptBody::Buffered(body, _) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            AttemptBody::Streaming(body) => body.poll_frame(cx),
-        };
-        if let Poll::Ready(Some(Ok(frame))) = &polled {
-            stream.on_piece_taken(frame.data_ref().map_or(0, Bytes::len));
+        match &mut *self {
+            AttemptBody::Buffered(body, stream) => {
+                stream.poll_piece(cx, |cx| Pin::new(body).poll_frame(cx).map_err(|never| match never {}))
+            }
+            AttemptBody::Streaming(body) => {
+                let stream = body.backend_stream.clone();
+                stream.poll_piece(cx, |cx| body.poll_frame(cx))
+            }
         }
-        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/http1/src/server/client_connection.rs
+++ b/crates/http1/src/server/client_connection.rs
@@ -142,6 +142,12 @@
         self.stream.message_completed();
     }
 
+    /// Drops the request in progress and closes the connection at once.
+    pub(super) fn abort(&self) {
+        self.request_in_progress.set(false);
+        self.close(CloseMode::Immediate);
+    }
+
     /// Makes the task of this connection close it.
     pub(super) fn close(&self, mode: CloseMode) {
         self.close_mode.set(mode);
--- a/crates/http1/src/server/maintenance.rs
+++ b/crates/http1/src/server/maintenance.rs
@@ -85,8 +85,7 @@
     fn close_abandoned(&self) {
         for connection in self.connections.borrow().values() {
             if connection.request_in_progress.get() && connection.stream.has_peer_closed() {
-                connection.request_in_progress.set(false);
-                connection.close(CloseMode::Immediate);
+                connection.abort();
             }
         }
     }
@@ -99,15 +98,13 @@
             connections.values().filter(|connection| connection.has_request_timed_out(tuning.request_timeout))
         {
             connection.streaming_body.take();
-            connection.request_in_progress.set(false);
-            connection.close(CloseMode::Immediate);
+            connection.abort();
         }
         // Connections whose client does not read its response: the rest of the response is dropped.
         for connection in
             connections.values().filter(|connection| connection.stream.is_write_stalled(tuning.stall_timeout))
         {
-            connection.request_in_progress.set(false);
-            connection.close(CloseMode::Immediate);
+            connection.abort();
         }
     }
 
--- a/crates/http1/src/server/response.rs
+++ b/crates/http1/src/server/response.rs
@@ -14,7 +14,7 @@
 use hyper::{Response, StatusCode};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{Context, Poll};
 
 pub(super) type ClientResponse = Response<ResponseBody>;
 
@@ -58,17 +58,15 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
-        if let Some(stream) = &self.stream {
-            ready!(stream.poll_room_for_piece(cx));
-        }
-        let polled = match &mut self.source {
+        let ResponseBody { source, stream, .. } = &mut *self;
+        let mut poll_frame = |cx: &mut Context<'_>| match source {
             BodySource::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             BodySource::Streaming(body) => Pin::new(body).poll_frame(cx),
         };
-        if let (Some(stream), Poll::Ready(Some(Ok(frame)))) = (&self.stream, &polled) {
-            stream.on_piece_taken(frame.data_ref().map_or(0, Bytes::len));
+        match stream {
+            Some(stream) => stream.poll_piece(cx, poll_frame),
+            None => poll_frame(cx),
         }
-        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -4,8 +4,10 @@
 use crate::body_buffer::MAX_PIECE_BYTES;
 use crate::framing::RequestFraming;
 use crate::write_progress::WriteProgress;
+use bytes::Bytes;
 use hillstall_proxy_core::metrics::Counter;
 use hillstall_proxy_core::tuning::Tuning;
+use hyper::body::Frame;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -231,19 +233,23 @@
         self.on_written.borrow_mut().push(Box::new(callback));
     }
 
-    /// Ready when hyper may take another piece of a body: its write buffer has less than a piece. Otherwise
-    /// hyper would take more before it writes, and keep a buffer of that size.
-    pub fn poll_room_for_piece(&self, cx: &Context<'_>) -> Poll<()> {
-        if self.unwritten_bytes.get() < MAX_PIECE_BYTES {
-            return Poll::Ready(());
+    /// Polls a body for the next piece that hyper writes to this stream, unless hyper's write buffer still has
+    /// as much as a piece. Otherwise hyper would take more before it writes, and keep a buffer of that size.
+    pub fn poll_piece<E>(
+        &self,
+        cx: &mut Context<'_>,
+        poll_frame: impl FnOnce(&mut Context<'_>) -> Poll<Option<std::result::Result<Frame<Bytes>, E>>>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, E>>> {
+        if self.unwritten_bytes.get() >= MAX_PIECE_BYTES {
+            self.written_waker.set(Some(cx.waker().clone()));
+            return Poll::Pending;
         }
-        self.written_waker.set(Some(cx.waker().clone()));
-        Poll::Pending
-    }
-
-    /// Records that hyper has taken `bytes` of a body.
-    pub fn on_piece_taken(&self, bytes: usize) {
-        self.unwritten_bytes.set(self.unwritten_bytes.get() + bytes);
+        let polled = poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            self.unwritten_bytes.set(self.unwritten_bytes.get() + bytes);
+        }
+        polled
     }
 
     /// Called when hyper's write buffer is empty.
