Log the course of each request by its id, and count ended attempts by outcome

Change: debug lines with the client's request id at the beginning, writing and end of each attempt, at the end of a request that is not served and at a close; the metric svc_attempts by class and outcome. The header's name stands once.

--- a/crates/decision/src/types.rs
+++ b/crates/decision/src/types.rs
@@ -85,6 +85,18 @@
 }
 
 impl Outcome {
+    /// All outcomes, in the order of their declaration.
+    pub const ALL: [Outcome; 8] = [
+        Outcome::Ok,
+        Outcome::Error,
+        Outcome::Rejected,
+        Outcome::Timeout,
+        Outcome::ConnectFailed,
+        Outcome::Reset,
+        Outcome::Cancelled,
+        Outcome::NotSent,
+    ];
+
     /// The name in access log records. Names that differ from the variants stay, as log consumers match them.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/http1/src/client/attempt.rs
+++ b/crates/http1/src/client/attempt.rs
@@ -30,6 +30,7 @@
 /// An attempt in progress.
 struct ActiveAttempt<'a> {
     request: &'a ClientRequest,
+    started_at: Instant,
     /// When the attempt times out; with a streamed body, when the connect times out.
     until: Instant,
     /// Incremented when the request has been sent completely.
@@ -53,7 +54,7 @@
             ClientRequestBody::Buffered(_) => deadline.min(Instant::now() + timeout),
             ClientRequestBody::Streaming(_) => Instant::now() + self.connect_timeout,
         };
-        let attempt = ActiveAttempt { request: &request, until, sent_counter };
+        let attempt = ActiveAttempt { request: &request, started_at, until, sent_counter };
         loop {
             let is_reused = idle.is_some();
             let connection = match idle.take() {
@@ -117,6 +118,13 @@
         if remaining.is_zero() {
             return Err(AttemptError::NotStarted(Outcome::NotSent));
         }
+        tracing::debug!(
+            id = attempt.request.id(),
+            backend = %target.address,
+            waited_ms = attempt.started_at.elapsed().as_millis() as u64,
+            remaining_ms = remaining.as_millis() as u64,
+            "attempt is written"
+        );
         connection.stream().begin_request(attempt.request.body_length(), attempt.sent_counter.clone());
         let request = forwarded_request(attempt.request, remaining, connection.stream());
         let tuning = self.limits.tuning();
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -14,6 +14,9 @@
 /// The request header with the time that the client waits for its response, in whole milliseconds.
 pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("request-timeout-ms");
 
+/// The request header that identifies a request. Two open requests must not have the same id.
+pub const REQUEST_ID_HEADER: &str = "request-id";
+
 /// A request of a client, to be forwarded to a backend.
 pub struct ClientRequest {
     /// The method, forwarded unchanged.
@@ -63,6 +66,10 @@
         }
     }
 
+    fn id(&self) -> &str {
+        self.headers.get(REQUEST_ID_HEADER).and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+
     fn has_client_left(&self) -> bool {
         self.client_stream.has_peer_closed()
     }
--- a/crates/http1/src/server/request.rs
+++ b/crates/http1/src/server/request.rs
@@ -4,12 +4,12 @@
 use super::body_prefix::BodyPrefix;
 use super::client_connection::ClientConnection;
 use super::request_error::RequestError;
-use super::request_head::{check_transfer_coding, single_value, REQUEST_ID};
+use super::request_head::{check_transfer_coding, single_value};
 use super::response::{forwarded_response, rejection, text_response, with_outcome, ClientResponse};
 use super::{HttpServer, MAINTENANCE_INTERVAL};
 use crate::body_stream::discard;
 use crate::client::HttpClient;
-use crate::message::{ClientRequest, ClientRequestBody};
+use crate::message::{ClientRequest, ClientRequestBody, REQUEST_ID_HEADER};
 use crate::request_body::StreamingRequestBody;
 use hillstall_proxy_core::clock::duration_from_ms;
 use hillstall_proxy_core::driver::{Completion, FinalResponse, RequestGuard, RequestMetadata};
@@ -168,7 +168,7 @@
         if connection.stream.has_peer_closed() {
             return Err(RequestError::ClientLeft);
         }
-        let id = single_value(&request.headers, REQUEST_ID).unwrap_or_default();
+        let id = single_value(&request.headers, REQUEST_ID_HEADER).unwrap_or_default();
         let retention = self.id_retention(metadata.class, timeout);
         let open_id =
             self.open_request_ids.register(id, retention).ok_or(RequestError::DuplicateRequestId)?;
--- a/crates/http1/src/server/request_head.rs
+++ b/crates/http1/src/server/request_head.rs
@@ -3,7 +3,7 @@
 use super::client_connection::ClientConnection;
 use super::request_error::RequestError;
 use super::HttpServer;
-use crate::message::TIMEOUT_HEADER;
+use crate::message::{REQUEST_ID_HEADER, TIMEOUT_HEADER};
 use hillstall_decision::RetrySafety;
 use hillstall_proxy_core::driver::RequestMetadata;
 use hillstall_proxy_core::endpoints::fnv1a;
@@ -12,8 +12,6 @@
 use hyper::Method;
 use std::time::{Duration, Instant};
 
-/// Identifies a request. Two open requests must not have the same id.
-pub(super) const REQUEST_ID: &str = "request-id";
 const REQUEST_CLASS: &str = "request-class";
 const TENANT: &str = "tenant";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -109,7 +107,7 @@
 }
 
 fn check_request_id(headers: &HeaderMap) -> Result<(), RequestError> {
-    let id = single_value(headers, REQUEST_ID).ok_or(RequestError::MissingRequestId)?;
+    let id = single_value(headers, REQUEST_ID_HEADER).ok_or(RequestError::MissingRequestId)?;
     let is_printable = id.bytes().all(|byte| byte.is_ascii_graphic());
     if id.is_empty() || id.len() > MAX_REQUEST_ID_BYTES || !is_printable {
         return Err(RequestError::MalformedRequestId);
--- a/crates/proxy-core/src/driver/attempts.rs
+++ b/crates/proxy-core/src/driver/attempts.rs
@@ -58,7 +58,8 @@
     ) {
         let address = state.directory.backend(backend);
         if let Some(open) = state.requests.get_mut(request).filter(|open| open.payload.has_client_left()) {
-            tracing::debug!(request, attempts = open.trace.attempts, "not sent: the client has left");
+            let id = open.payload.id();
+            tracing::debug!(id, attempts = open.trace.attempts, "not sent: the client has left");
             open.respond(FinalResponse::Failed);
         }
         let open = state.requests.get_mut(request).filter(|open| open.may_start_attempt(self.max_attempts));
@@ -67,6 +68,13 @@
         };
         let sent_at = Instant::now();
         let cancelled = open.start_attempt(backend, address.address, sent_at);
+        tracing::debug!(
+            id = open.payload.id(),
+            attempt = open.trace.attempts,
+            backend = %address.address,
+            since_first_ms = open.trace.ms_since_first_attempt(sent_at),
+            "attempt begins"
+        );
         let payload = open.payload.clone();
         let deadline = open.deadline;
         let timeout = attempt_timeout(timeout_ms);
@@ -122,6 +130,14 @@
         let Some(open) = state.requests.get_mut(request) else { return };
         let Some(attempt) = open.in_flight.take() else { return };
         open.trace.last_outcome = Some(result.outcome);
+        self.metrics.count_attempt(open.class, result.outcome);
+        tracing::debug!(
+            id = open.payload.id(),
+            attempt = open.trace.attempts,
+            outcome = result.outcome.name(),
+            took_ms = ms_from_duration(sent_at.elapsed()),
+            "attempt ends"
+        );
         if let Some(response) = result.response {
             open.respond(FinalResponse::Served(response));
         } else if let Some(fault) = result.invalid_request {
--- a/crates/proxy-core/src/driver/dispatch.rs
+++ b/crates/proxy-core/src/driver/dispatch.rs
@@ -3,7 +3,7 @@
 use super::{Driver, State};
 use crate::clock::duration_from_ms;
 use crate::response::FinalResponse;
-use crate::transport::Transport;
+use crate::transport::{RequestPayload, Transport};
 use hillstall_decision::{Action, BackendInfo, Event, ListKind, RequestId, UnservedReason};
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -86,6 +86,13 @@
     ) {
         if let Some(open) = state.requests.get_mut(request) {
             open.trace.reason = Some(reason);
+            tracing::debug!(
+                id = open.payload.id(),
+                attempts = open.trace.attempts,
+                reason = reason.name(),
+                rejected = matches!(response, FinalResponse::Rejected(_)),
+                "request is not served"
+            );
             self.metrics.count_unserved(open.class, reason);
             open.respond(response);
         }
--- a/crates/proxy-core/src/driver/mod.rs
+++ b/crates/proxy-core/src/driver/mod.rs
@@ -24,7 +24,7 @@
 use crate::discovery::Discovery;
 use crate::endpoints::{EndpointDirectory, EndpointList};
 use crate::metrics::{ClusterSize, Metrics};
-use crate::transport::Transport;
+use crate::transport::{RequestPayload, Transport};
 use hillstall_decision::{Action, Balancer, Event, Millis, ReportField, ReportVia, RequestId, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -214,6 +214,13 @@
     fn close(&self, id: RequestId) {
         let state = &mut *self.state.borrow_mut();
         let Some(open) = state.requests.get_mut(id).filter(|open| !open.has_response()) else { return };
+        let has_left = open.payload.has_client_left();
+        tracing::debug!(
+            id = open.payload.id(),
+            attempts = open.trace.attempts,
+            has_left,
+            "request is closed"
+        );
         open.respond(FinalResponse::Failed);
         self.handle(state, QueuedEvent::Event(Event::ClientGone { request: id }));
         state.requests.remove_if_finished(id);
--- a/crates/proxy-core/src/metrics.rs
+++ b/crates/proxy-core/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and gauges of this process, and the text form in which the admin address returns them. Operators'
 //! tools read the metric names, so they are fixed.
 
-use hillstall_decision::{Class, UnservedReason};
+use hillstall_decision::{Class, Outcome, UnservedReason};
 use std::cell::Cell;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -33,6 +33,8 @@
     sent_attempts: Counter,
     /// Rejected and failed requests by reason, in the order of [`UnservedReason::ALL`].
     unserved: [Cell<u64>; UnservedReason::ALL.len()],
+    /// Attempts that have ended, by outcome, in the order of [`Outcome::ALL`].
+    attempts: [Cell<u64>; Outcome::ALL.len()],
 }
 
 impl ClassMetrics {
@@ -59,6 +61,16 @@
                     writeln!(text, "svc_unserved{{group=\"{name}\",reason=\"{reason}\"}} {}", counter.get());
             }
         }
+        for (outcome, counter) in Outcome::ALL.iter().zip(&self.attempts) {
+            if counter.get() > 0 {
+                let outcome = outcome.name();
+                let _ = writeln!(
+                    text,
+                    "svc_attempts{{group=\"{name}\",outcome=\"{outcome}\"}} {}",
+                    counter.get()
+                );
+            }
+        }
     }
 }
 
@@ -125,6 +137,13 @@
         }
     }
 
+    /// Counts an attempt of a request of a class that has ended.
+    pub fn count_attempt(&self, class: u8, outcome: Outcome) {
+        if let Some(class) = self.class(class) {
+            increment(&class.attempts[outcome as usize]);
+        }
+    }
+
     /// The counter of attempts of a class whose request was written completely. The transport increments it.
     pub fn sent_counter(&self, class: u8) -> Counter {
         self.class(class).map(|class| class.sent_attempts.clone()).unwrap_or_default()
--- a/crates/proxy-core/src/request.rs
+++ b/crates/proxy-core/src/request.rs
@@ -1,5 +1,6 @@
 //! The properties of a request that the decision module uses, and the history of its attempts.
 
+use crate::clock::ms_from_duration;
 use hillstall_decision::{Millis, Outcome, UnservedReason};
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -55,6 +56,12 @@
         }
     }
 
+    /// Time from the start of the first attempt to `now`, in milliseconds; 0 without attempts.
+    pub(crate) fn ms_since_first_attempt(&self, now: Instant) -> Millis {
+        let since = self.first_attempt_at.map(|first| now.saturating_duration_since(first));
+        ms_from_duration(since.unwrap_or_default())
+    }
+
     /// Records that an attempt is started.
     pub(crate) fn record_attempt(&mut self, backend_address: SocketAddr, sent_at: Instant) {
         self.attempts += 1;
--- a/crates/proxy-core/src/transport.rs
+++ b/crates/proxy-core/src/transport.rs
@@ -18,6 +18,9 @@
     /// was complete before the first attempt.
     fn completed_at(&self) -> Option<Instant>;
 
+    /// The id under which the client knows the request, for log lines.
+    fn id(&self) -> &str;
+
     /// Whether the client has closed its connection, so that no attempt may start any more.
     fn has_client_left(&self) -> bool;
 }
--- a/crates/proxy-core/tests/output_names.rs
+++ b/crates/proxy-core/tests/output_names.rs
@@ -26,6 +26,16 @@
     assert_eq!(metrics_text, expected);
 }
 
+#[test]
+fn ended_attempts_are_counted_by_outcome_under_fixed_labels() {
+    let metrics = Metrics::new(&[class("a")]);
+    Outcome::ALL.iter().for_each(|outcome| metrics.count_attempt(0, *outcome));
+    let text = metrics.render(ClusterSize::default());
+    let counted: Vec<&str> = text.lines().filter(|line| line.starts_with("svc_attempts")).collect();
+    let names = ["Ok", "Error", "Full", "Timeout", "ConnectFailed", "Reset", "Cancelled", "Moot"];
+    assert_eq!(counted, names.map(|name| format!("svc_attempts{{group=\"a\",outcome=\"{name}\"}} 1")));
+}
+
 #[test]
 fn unserved_reasons_have_fixed_descriptions() {
     let texts = UnservedReason::ALL.map(|reason| reason.text());
