--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -16,6 +16,7 @@
 mod platform_file;
 mod protocol_violations;
 mod request_ids;
+mod retry_windows;
 mod shutdown;
 mod shutdown_transfers;
 mod slow_transfers;
--- /dev/null
+++ b/crates/hillstall/tests/proxy/retry_windows.rs
@@ -0,0 +1,91 @@
+//! Requests with an idempotency key whose retry would reach a backend when it no longer drops repetitions.
+
+use super::*;
+use socket2::{Domain, Socket, Type};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+/// How long backends drop repetitions of a keyed request.
+const WINDOW: Duration = Duration::from_millis(1_000);
+/// How long the first attempt is out before its connection ends.
+const FIRST_ATTEMPT: Duration = Duration::from_millis(300);
+/// How long the backend accepts no connection. A SYN that was dropped meanwhile is repeated after a second.
+const UNREACHABLE_UNTIL: Duration = Duration::from_millis(1_150);
+/// How long the client waits.
+const TIMEOUT_MS: u32 = 4_000;
+
+/// When each request had arrived.
+type Arrivals = Arc<Mutex<Vec<Instant>>>;
+
+fn new_socket() -> Socket {
+    Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket")
+}
+
+/// Fills the queue of a listener, so that further connects wait. The sockets have to be kept.
+fn fill_queue(address: SocketAddr) -> Vec<Socket> {
+    let connects = (0..4).map(|_| {
+        let queued = new_socket();
+        queued.set_nonblocking(true).expect("the socket is set");
+        let _ = queued.connect(&address.into());
+        queued
+    });
+    connects.collect()
+}
+
+/// A backend that ends the connection of its first request after [`FIRST_ATTEMPT`], lets connects wait until
+/// [`UNREACHABLE_UNTIL`], and answers all later requests.
+fn backend_that_comes_back(arrivals: &Arrivals) -> SocketAddr {
+    let listener = new_socket();
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    listener.listen(0).expect("the socket listens");
+    let address = listener.local_addr().expect("an address").as_socket().expect("an IPv4 address");
+    let listener = std::net::TcpListener::from(listener);
+    let arrivals = arrivals.clone();
+    thread::spawn(move || {
+        let (first, _) = listener.accept().expect("a connection");
+        Message::read(&mut BufReader::new(&first)).expect("a request");
+        let arrived_at = Instant::now();
+        arrivals.lock().expect("the arrivals").push(arrived_at);
+        thread::sleep(FIRST_ATTEMPT);
+        let _queued = fill_queue(address);
+        drop(first);
+        thread::sleep(UNREACHABLE_UNTIL.saturating_sub(arrived_at.elapsed()));
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let arrivals = arrivals.clone();
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+                while Message::read(&mut reader).is_some() {
+                    arrivals.lock().expect("the arrivals").push(Instant::now());
+                    let _ = stream.write_all(OK.as_bytes());
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Starts a proxy in front of one backend, with this window.
+fn start_with_window(backend: SocketAddr, window: Duration) -> (Proxy, Discovery) {
+    let discovery = Discovery::start(Some(endpoint_list(5, true, &[endpoint("b0", backend, "ready")])));
+    let config = platform_config(discovery.address, &endpoint_list(0, true, &[]))
+        .replace(r#""Window":9000"#, &format!(r#""Window":{}"#, window.as_millis()));
+    (Proxy::start(&config), discovery)
+}
+
+// Guards against a retry that is decided within the window and written after it, as its connect took a second.
+#[test]
+fn keyed_retry_is_not_written_after_its_window_when_its_connection_comes_up_late() {
+    let arrivals = Arrivals::default();
+    let (proxy, _discovery) = start_with_window(backend_that_comes_back(&arrivals), WINDOW);
+    let started_at = Instant::now();
+    let reply = proxy.request(&build_request("keyed", "w1", TIMEOUT_MS, "x"));
+    let answered_after = started_at.elapsed();
+    // Time for a connect that is still under way to be used.
+    thread::sleep(UNREACHABLE_UNTIL * 2);
+    let arrivals = arrivals.lock().expect("the arrivals");
+    let after_first: Vec<_> = arrivals.iter().map(|at| at.duration_since(arrivals[0])).collect();
+    assert!(after_first.iter().all(|after| *after < WINDOW), "arrived at {after_first:?}");
+    assert_eq!(reply.status(), 502, "answered after {answered_after:?}");
+    assert!(answered_after < Duration::from_millis(u64::from(TIMEOUT_MS)), "{answered_after:?}");
+}
