A keyed retry is written within its window or not at all

Callers: a keyed request reached a backend again after the window in which repetitions are dropped, and may have run twice. Cause: the window was looked at once, when the retry was decided. The wait for a connection, up to the connect timeout, lay between that and the write, and no allowance was made for a process that is held up. Change: the decision module says with each attempt until when it may be written: the window from the first attempt that may have run, less 0.15 s. The client looks at it right before the first byte, and waits no longer for a connection; the request then fails. The reference model of the decision tests knows the time of each send now; it had an upper bound. It works as nothing lies between the last look and the write but the pause that is allowed for.

--- a/crates/decision/src/action.rs
+++ b/crates/decision/src/action.rs
@@ -13,6 +13,11 @@
         backend: BackendId,
         /// The attempt timeout in milliseconds; 0 waits until the client gives up.
         timeout_ms: Millis,
+        /// The clock time before which the last byte of the request has to be written, as backends drop
+        /// repetitions of it only until then; `None` if it may be written at any time. An attempt that is not
+        /// written by then ends as [`Outcome::NotSent`](crate::Outcome::NotSent), or, if a part of it was
+        /// written, as [`Outcome::ConnectFailed`](crate::Outcome::ConnectFailed).
+        write_by: Option<Millis>,
     },
     /// Final answer: the request was not served, and the client may safely send it again.
     Reject {
--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -263,12 +263,13 @@
     ) {
         let class = &self.settings.classes[request.class];
         let timeout_ms = retry::attempt_timeout(&request, class, &self.latencies[request.class], time_left);
+        let write_by = retry::write_by(class, request.may_have_run);
         let backend = self.endpoints.at_mut(index);
         backend.on_send(self.now);
         request.attempts += 1;
         request.in_flight = Some(Attempt { backend: backend.info, sent_at: self.now });
         request.tried.push(backend.info.id);
-        actions.push(Action::Send { request: id, backend: backend.info.id, timeout_ms });
+        actions.push(Action::Send { request: id, backend: backend.info.id, timeout_ms, write_by });
         self.admission.on_send(self.now, &request);
         if !request.exceeds_quota && request.attempts == 1 {
             self.quotas.record(request.tenant, self.now, self.demand.value());
--- a/crates/decision/src/retry.rs
+++ b/crates/decision/src/retry.rs
@@ -25,6 +25,10 @@
 /// Minimum factor of the random jitter on the retry advice; the maximum is 1 more.
 const MIN_JITTER: f64 = 0.5;
 
+/// The longest time for which the process may be held up between a look at its clock and a write, in
+/// milliseconds.
+const MAX_PAUSE_MS: Millis = 150.0;
+
 /// A token bucket for retries.
 pub(crate) struct RetryBudget {
     retries: f64,
@@ -55,12 +59,23 @@
 pub(crate) fn may_retry(class: &Class, may_have_run: Option<Attempt>, outcome: Outcome, now: Millis) -> bool {
     let is_safe = match (class.retry_safety, may_have_run) {
         (_, None) | (RetrySafety::Idempotent, _) => true,
-        (RetrySafety::IdempotencyKey, Some(first)) => now - first.sent_at < class.dedup_window_ms,
+        (RetrySafety::IdempotencyKey, Some(first)) => now < dedup_ends_at(class, first),
         (RetrySafety::NonIdempotent, Some(_)) => false,
     };
     is_safe && !outcome.was_abandoned()
 }
 
+/// The clock time before which the next attempt has to be written; `None` if there is no limit.
+pub(crate) fn write_by(class: &Class, may_have_run: Option<Attempt>) -> Option<Millis> {
+    let is_deduplicated = class.retry_safety == RetrySafety::IdempotencyKey;
+    may_have_run.filter(|_| is_deduplicated).map(|first| dedup_ends_at(class, first))
+}
+
+/// The clock time until which backends certainly drop repetitions of a request that are written then.
+fn dedup_ends_at(class: &Class, first: Attempt) -> Millis {
+    first.sent_at + class.dedup_window_ms - MAX_PAUSE_MS
+}
+
 /// Whether a backend may get the next attempt. Once a request with an idempotency key may have run, only the
 /// backends that deduplicate it may.
 pub(crate) fn may_send_to(class: &Class, may_have_run: Option<Attempt>, backend: &BackendInfo) -> bool {
@@ -74,13 +89,13 @@
     }
 }
 
-/// Whether the client may safely send the request again, so that the final answer can be a rejection instead
-/// of a failure.
-pub(crate) fn may_client_retry(class: &Class, may_have_run: Option<Attempt>, now: Millis) -> bool {
+/// Whether the client may safely send the request again at `retry_at`, so that the final answer can be a
+/// rejection instead of a failure.
+pub(crate) fn may_client_retry(class: &Class, may_have_run: Option<Attempt>, retry_at: Millis) -> bool {
     match (class.retry_safety, may_have_run) {
         (RetrySafety::Idempotent, _) | (_, None) => true,
         (RetrySafety::IdempotencyKey, Some(first)) => {
-            class.dedup_scope == DedupScope::All && now - first.sent_at < class.dedup_window_ms
+            class.dedup_scope == DedupScope::All && retry_at < dedup_ends_at(class, first)
         }
         (RetrySafety::NonIdempotent, Some(_)) => false,
     }
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -4,6 +4,9 @@
 use hillstall_decision::Balancer;
 use hillstall_decision::*;
 
+/// How long backends drop repetitions of a keyed request, in milliseconds.
+pub const DEDUP_WINDOW_MS: Millis = 2_000.0;
+
 /// A class of requests with a latency objective of 1 s and a deadline of 4 s.
 pub fn class(retry_safety: RetrySafety, scope: DedupScope) -> Class {
     Class {
@@ -15,7 +18,7 @@
         late_weight_fraction: 0.2,
         retry_safety,
         dedup_scope: scope,
-        dedup_window_ms: 2_000.0,
+        dedup_window_ms: DEDUP_WINDOW_MS,
         streaming: false,
     }
 }
@@ -180,7 +183,7 @@
     pub fn sent(&mut self) -> Option<Sent> {
         let sent_at = self.now;
         let (request, backend, timeout_ms) = self.last.iter().find_map(|a| match a {
-            Action::Send { request, backend, timeout_ms } => Some((*request, *backend, *timeout_ms)),
+            Action::Send { request, backend, timeout_ms, .. } => Some((*request, *backend, *timeout_ms)),
             _ => None,
         })?;
         let count = self.attempts.entry(request).or_default();
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -11,6 +11,8 @@
 use std::collections::BTreeMap;
 
 const MAY_HAVE_RUN_OUTCOMES: [Outcome; 3] = [Outcome::Error, Outcome::Timeout, Outcome::Reset];
+/// The pause that the terms allow the process between a look at its clock and a write, in milliseconds.
+const MAX_PAUSE_MS: Millis = 150.0;
 const NEVER_RAN_OUTCOMES: [Outcome; 2] = [Outcome::Rejected, Outcome::ConnectFailed];
 
 fn proxy(retry_safety: RetrySafety, scope: DedupScope, list: &[BackendInfo]) -> Proxy {
@@ -72,6 +74,38 @@
     }
 }
 
+// Guards against a retry that the process, held up before its write, sends after the window.
+#[test]
+fn with_an_idempotency_key_no_retry_is_sent_when_a_pause_would_take_it_past_its_dedup_window() {
+    for (before_end, is_retried) in [(MAX_PAUSE_MS + 1.0, true), (MAX_PAUSE_MS - 1.0, false)] {
+        let mut p = proxy(RetrySafety::IdempotencyKey, DedupScope::All, &backends(8));
+        let first = p.send_request(0, 0, 4_000.0).expect("sent");
+        let window_end = p.now + DEDUP_WINDOW_MS;
+        p.now = window_end - before_end;
+        assert_eq!(p.end(first, Outcome::Reset).is_some(), is_retried, "{before_end} ms before the end");
+        let write_by = p.last.iter().find_map(|action| match action {
+            Action::Send { write_by, .. } => *write_by,
+            _ => None,
+        });
+        assert_eq!(write_by, is_retried.then_some(window_end - MAX_PAUSE_MS));
+        assert!(is_retried || p.failed());
+    }
+}
+
+// Guards against an attempt that is not written in time and is then sent once more, or rejected.
+#[test]
+fn with_an_idempotency_key_a_request_fails_when_its_retry_was_not_written_in_time() {
+    for outcome in [Outcome::NotSent, Outcome::ConnectFailed] {
+        let mut p = proxy(RetrySafety::IdempotencyKey, DedupScope::All, &backends(8));
+        let first = p.send_request(0, 0, 4_000.0).expect("sent");
+        p.now += 300.0;
+        let retry = p.end(first, Outcome::Reset).expect("retried within the window");
+        p.now += DEDUP_WINDOW_MS - MAX_PAUSE_MS - 300.0;
+        assert_eq!(p.end(retry, outcome), None, "{outcome:?}");
+        assert!(p.failed(), "{outcome:?}");
+    }
+}
+
 #[test]
 fn with_an_idempotency_key_and_no_backend_left_in_its_dedup_scope_a_request_fails() {
     let mut p = proxy(RetrySafety::IdempotencyKey, DedupScope::Zone, &[in_zone(1, 0), in_zone(2, 1)]);
@@ -217,7 +251,8 @@
 struct RequestRecord {
     class: usize,
     deadline: Millis,
-    out: Vec<(u8, BackendId)>,
+    /// The attempts in flight: number, backend and time of the send.
+    out: Vec<(u8, BackendId, Millis)>,
     attempts: u8,
     may_have_run: Option<(BackendId, Millis)>,
     answered: bool,
@@ -286,8 +321,9 @@
     fn check(&mut self) -> Result<(), TestCaseError> {
         for action in self.p.last.clone() {
             match action {
-                Action::Send { request, backend, timeout_ms } => {
+                Action::Send { request, backend, timeout_ms, write_by } => {
                     self.check_send(request, backend, timeout_ms)?;
+                    self.check_write_limit(request, write_by)?;
                 }
                 Action::Reject { request, .. } => {
                     let record = self.records.get_mut(&request).expect("a known request");
@@ -316,6 +352,18 @@
         Ok(())
     }
 
+    /// Checks that a repetition of a keyed request has to be written so early that a pause of the process doesn't
+    /// take it past the window, and that nothing else is limited.
+    fn check_write_limit(&self, request: RequestId, write_by: Option<Millis>) -> Result<(), TestCaseError> {
+        let record = &self.records[&request];
+        let class = &self.classes[record.class];
+        let first = record.may_have_run.filter(|_| class.retry_safety == RetrySafety::IdempotencyKey);
+        let limit = first.map(|(_, at)| at + class.dedup_window_ms - MAX_PAUSE_MS);
+        prop_assert_eq!(write_by, limit);
+        prop_assert!(limit.is_none_or(|limit| self.p.now < limit), "sent after the time to write it");
+        Ok(())
+    }
+
     /// Checks one send against the rules and records it.
     fn check_send(
         &mut self,
@@ -348,7 +396,7 @@
             }
             _ => {}
         }
-        record.out.push((record.attempts, backend));
+        record.out.push((record.attempts, backend, self.p.now));
         record.attempts += 1;
         Ok(())
     }
@@ -361,13 +409,9 @@
     fn end(&mut self, request: RequestId, attempt: u8, outcome: Outcome) -> Result<(), TestCaseError> {
         let record = self.records.get_mut(&request).expect("a known request");
         let place = record.out.iter().position(|o| o.0 == attempt).expect("an attempt in flight");
-        let (_, backend) = record.out.remove(place);
+        let (_, backend, sent_at) = record.out.remove(place);
         if !outcome.never_ran() && record.may_have_run.is_none() {
-            // The send time is not recorded; the present time is an upper bound of it.
-            record.may_have_run = Some((backend, self.p.now - self.classes[record.class].dedup_window_ms));
-            if outcome != Outcome::Ok {
-                record.may_have_run = Some((backend, self.p.now));
-            }
+            record.may_have_run = Some((backend, sent_at));
         }
         let ended = outcome == Outcome::Ok || record.answered;
         record.answered |= ended;
--- a/crates/hillstall/tests/proxy/retry_windows.rs
+++ b/crates/hillstall/tests/proxy/retry_windows.rs
@@ -65,6 +65,12 @@
     address
 }
 
+/// The time from the first arrival to each one.
+fn after_first(arrivals: &Arrivals) -> Vec<Duration> {
+    let arrivals = arrivals.lock().expect("the arrivals");
+    arrivals.iter().map(|at| at.duration_since(arrivals[0])).collect()
+}
+
 /// Starts a proxy in front of one backend, with this window.
 fn start_with_window(backend: SocketAddr, window: Duration) -> (Proxy, Discovery) {
     let discovery = Discovery::start(Some(endpoint_list(5, true, &[endpoint("b0", backend, "ready")])));
@@ -83,8 +89,7 @@
     let answered_after = started_at.elapsed();
     // Time for a connect that is still under way to be used.
     thread::sleep(UNREACHABLE_UNTIL * 2);
-    let arrivals = arrivals.lock().expect("the arrivals");
-    let after_first: Vec<_> = arrivals.iter().map(|at| at.duration_since(arrivals[0])).collect();
+    let after_first = after_first(&arrivals);
     assert!(after_first.iter().all(|after| *after < WINDOW), "arrived at {after_first:?}");
     assert_eq!(reply.status(), 502, "answered after {answered_after:?}");
     assert!(answered_after < Duration::from_millis(u64::from(TIMEOUT_MS)), "{answered_after:?}");
--- a/crates/http1/src/client/attempt.rs
+++ b/crates/http1/src/client/attempt.rs
@@ -9,6 +9,7 @@
 use hillstall_proxy_core::metrics::Counter;
 use hillstall_proxy_core::transport::{Attempt, AttemptResult, RequestPayload, Transport};
 use hyper::StatusCode;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -33,6 +34,8 @@
     started_at: Instant,
     /// When the attempt times out; with a streamed body, when the connect times out.
     until: Instant,
+    /// When the last byte of the request has to be written at the latest.
+    write_by: Option<Instant>,
     /// Incremented when the request has been sent completely.
     sent_counter: Counter,
 }
@@ -45,7 +48,8 @@
     /// Makes one attempt, which ends at the latest at its deadline or after its timeout. When this returns,
     /// no open connection carries the request any more, except one on which the response is still streamed.
     async fn attempt(self: Rc<Self>, attempt: Attempt<HttpClient>) -> AttemptResult<HttpClient> {
-        let Attempt { payload: request, backend, address, deadline, timeout, sent_counter, permit } = attempt;
+        let Attempt { payload: request, backend, address, deadline, timeout, write_by, sent_counter, permit } =
+            attempt;
         let target = Target { backend, address, permit: Rc::new(permit) };
         let started_at = Instant::now();
         let mut idle = self.take_idle(backend, address).await;
@@ -54,13 +58,13 @@
             ClientRequestBody::Buffered(_) => deadline.min(Instant::now() + timeout),
             ClientRequestBody::Streaming(_) => Instant::now() + self.connect_timeout,
         };
-        let attempt = ActiveAttempt { request: &request, started_at, until, sent_counter };
+        let attempt = ActiveAttempt { request: &request, started_at, until, write_by, sent_counter };
         loop {
             let is_reused = idle.is_some();
             let connection = match idle.take() {
                 Some(connection) => Ok(connection),
                 // Boxed to keep the future of an attempt small, as new connections are rare.
-                None => Box::pin(self.connect_hedged(&target, until)).await,
+                None => Box::pin(self.connect_in_time(&attempt, &target)).await,
             };
             let mut connection = match connection {
                 Ok(connection) => connection,
@@ -98,6 +102,19 @@
 }
 
 impl HttpClient {
+    /// Opens a connection while the request may be written. One that comes up later goes into the pool.
+    async fn connect_in_time(
+        self: &Rc<Self>,
+        attempt: &ActiveAttempt<'_>,
+        target: &Target,
+    ) -> Result<BackendConnection, Outcome> {
+        tokio::select! {
+            biased;
+            connection = self.connect_hedged(target, attempt.until) => connection,
+            () = attempt.wait_for_write_limit() => Err(Outcome::NotSent),
+        }
+    }
+
     /// Sends the request on a connection and reads the response.
     async fn exchange(
         &self,
@@ -115,7 +132,7 @@
             return Err(AttemptError::NotStarted(Outcome::ConnectFailed));
         }
         let remaining = attempt.remaining_time();
-        if remaining.is_zero() {
+        if remaining.is_zero() || attempt.is_too_late_to_write() {
             return Err(AttemptError::NotStarted(Outcome::NotSent));
         }
         tracing::debug!(
@@ -219,6 +236,19 @@
 }
 
 impl ActiveAttempt<'_> {
+    /// Whether the time is over in which the request may be written.
+    fn is_too_late_to_write(&self) -> bool {
+        self.write_by.is_some_and(|write_by| write_by <= Instant::now())
+    }
+
+    /// Waits until the request may not be written any more; for ever if there is no such limit.
+    async fn wait_for_write_limit(&self) {
+        match self.write_by {
+            Some(write_by) => sleep_until(write_by.into()).await,
+            None => pending().await,
+        }
+    }
+
     /// The time left for the backend to respond.
     fn remaining_time(&self) -> Duration {
         match &self.request.body {
--- a/crates/proxy-core/src/clock.rs
+++ b/crates/proxy-core/src/clock.rs
@@ -27,6 +27,13 @@
     pub(crate) fn now_ms(&self) -> Millis {
         self.unix_ms_at_start + ms_from_duration(self.started_at.elapsed())
     }
+
+    /// The instant at which [`now_ms`](Clock::now_ms) is `ms`, at the earliest the start of the clock; `None` if it
+    /// is too far ahead to be represented.
+    pub(crate) fn instant_at(&self, ms: Millis) -> Option<Instant> {
+        let since_start = (ms - self.unix_ms_at_start).max(0.0) / MS_PER_SECOND;
+        self.started_at.checked_add(Duration::try_from_secs_f64(since_start).ok()?)
+    }
 }
 
 pub(crate) fn ms_from_duration(duration: Duration) -> Millis {
--- a/crates/proxy-core/src/driver/attempts.rs
+++ b/crates/proxy-core/src/driver/attempts.rs
@@ -12,7 +12,7 @@
 use tokio::task::spawn_local;
 
 /// Converts the timeout of an attempt, for which 0 means that there is none.
-fn attempt_timeout(timeout_ms: Millis) -> Duration {
+pub(super) fn attempt_timeout(timeout_ms: Millis) -> Duration {
     if timeout_ms == 0.0 {
         MAX_DURATION
     } else {
@@ -20,6 +20,15 @@
     }
 }
 
+/// The limits in time of one attempt.
+#[derive(Clone, Copy)]
+pub(super) struct AttemptLimits {
+    /// Maximum duration of the attempt.
+    pub(super) timeout: Duration,
+    /// When the last byte has to be written at the latest, if there is such a limit.
+    pub(super) write_by: Option<Instant>,
+}
+
 impl<C: Transport> SendCheck for Driver<C> {
     fn is_request_open(&self, request: RequestId) -> bool {
         let state = self.state.borrow();
@@ -54,30 +63,18 @@
         state: &mut State<C>,
         request: RequestId,
         backend: BackendId,
-        timeout_ms: Millis,
+        limits: AttemptLimits,
     ) {
         let address = state.directory.backend(backend);
-        if let Some(open) = state.requests.get_mut(request).filter(|open| open.payload.has_client_left()) {
-            let id = open.payload.id();
-            tracing::debug!(id, attempts = open.trace.attempts, "not sent: the client has left");
-            open.respond(FinalResponse::Failed);
-        }
+        Self::fail_if_client_left(state, request);
         let open = state.requests.get_mut(request).filter(|open| open.may_start_attempt(self.max_attempts));
         let (Some(open), Some(address)) = (open, address) else {
             return Self::report_not_sent(state, request, backend);
         };
         let sent_at = Instant::now();
         let cancelled = open.start_attempt(backend, address.address, sent_at);
-        tracing::debug!(
-            id = open.payload.id(),
-            attempt = open.trace.attempts,
-            backend = %address.address,
-            since_first_ms = open.trace.ms_since_first_attempt(sent_at),
-            "attempt begins"
-        );
         let payload = open.payload.clone();
         let deadline = open.deadline;
-        let timeout = attempt_timeout(timeout_ms);
         let sent_counter = self.metrics.sent_counter(open.class);
         state.count_sent(address.zone);
         let weak_self = self.weak_self.clone();
@@ -89,7 +86,8 @@
                 backend,
                 address: address.address,
                 deadline,
-                timeout,
+                timeout: limits.timeout,
+                write_by: limits.write_by,
                 sent_counter,
                 permit,
             };
@@ -104,6 +102,15 @@
         });
     }
 
+    /// Fails a request whose client has left.
+    fn fail_if_client_left(state: &mut State<C>, request: RequestId) {
+        if let Some(open) = state.requests.get_mut(request).filter(|open| open.payload.has_client_left()) {
+            let id = open.payload.id();
+            tracing::debug!(id, attempts = open.trace.attempts, "not sent: the client has left");
+            open.respond(FinalResponse::Failed);
+        }
+    }
+
     /// Queues the outcome of an attempt that could not start.
     fn report_not_sent(state: &mut State<C>, request: RequestId, backend: BackendId) {
         let open = state.requests.get(request);
--- a/crates/proxy-core/src/driver/dispatch.rs
+++ b/crates/proxy-core/src/driver/dispatch.rs
@@ -1,5 +1,6 @@
 //! Passes events to the decision module one by one, and carries out the returned actions in order.
 
+use super::attempts::{attempt_timeout, AttemptLimits};
 use super::{Driver, State};
 use crate::clock::duration_from_ms;
 use crate::response::FinalResponse;
@@ -50,7 +51,13 @@
 
     fn dispatch(&self, state: &mut State<C>, action: Action) {
         match action {
-            Action::Send { request, backend, timeout_ms } => self.send(state, request, backend, timeout_ms),
+            Action::Send { request, backend, timeout_ms, write_by } => {
+                let limits = AttemptLimits {
+                    timeout: attempt_timeout(timeout_ms),
+                    write_by: write_by.and_then(|at| self.clock.instant_at(at)),
+                };
+                self.send(state, request, backend, limits);
+            }
             Action::Reject { request, retry_after_ms, reason } => {
                 self.finish(state, request, FinalResponse::Rejected(retry_after_ms), reason);
             }
--- a/crates/proxy-core/src/driver/request_table.rs
+++ b/crates/proxy-core/src/driver/request_table.rs
@@ -65,6 +65,13 @@
         let number = self.trace.attempts as u8;
         self.in_flight = Some(InFlightAttempt { number, backend, cancel: Some(cancel) });
         self.trace.record_attempt(address, sent_at);
+        tracing::debug!(
+            id = self.payload.id(),
+            attempt = self.trace.attempts,
+            backend = %address,
+            since_first_ms = self.trace.ms_since_first_attempt(sent_at),
+            "attempt begins"
+        );
         cancelled
     }
 
--- a/crates/proxy-core/src/transport.rs
+++ b/crates/proxy-core/src/transport.rs
@@ -37,6 +37,9 @@
     pub deadline: Instant,
     /// Maximum duration of the attempt. Does not apply to a streamed payload, which can't be sent again.
     pub timeout: Duration,
+    /// When the last byte of the request has to be written at the latest; `None` if there is no such limit. An
+    /// attempt that is not complete by then ends, and nothing more of it is written.
+    pub write_by: Option<Instant>,
     /// Incremented when the last byte of the request is written.
     pub sent_counter: Counter,
     /// Checked right before the first byte is written, and before a connection is kept for reuse.
--- a/crates/sim-adapter/src/wire/reply.rs
+++ b/crates/sim-adapter/src/wire/reply.rs
@@ -47,7 +47,7 @@
     /// Appends a record for one action of an instance.
     pub fn push_action(&mut self, instance: u32, action: &Action) {
         match action {
-            Action::Send { request, backend, timeout_ms } => {
+            Action::Send { request, backend, timeout_ms, .. } => {
                 let out = self.start_for_request(record_code::SEND, instance, *request);
                 out.extend(backend.to_be_bytes());
                 out.extend(timeout_ms.to_be_bytes());
--- a/crates/sim-adapter/tests/wire.rs
+++ b/crates/sim-adapter/tests/wire.rs
@@ -89,7 +89,7 @@
     assert_eq!(reply.finish(1), bytes("0000000c 00000000 00000001"));
     reply.clear();
     let request = 0x0001_6b86_5d3a_91c4;
-    reply.push_action(3, &Action::Send { request, backend: 0x0312_4a07, timeout_ms: 80.0 });
+    reply.push_action(3, &Action::Send { request, backend: 0x0312_4a07, timeout_ms: 80.0, write_by: None });
     reply.push_action(3, &Action::SetTimer { after_ms: 500.0, token: 77 });
     reply.push_action(5, &Action::Log("two servers known".into()));
     let expected = bytes(
@@ -236,7 +236,7 @@
     let mut reply = ReplyFrame::default();
     reply.clear();
     let (request, backend) = (0x0001_6b86_5d3a_91c4, 0x0312_4a07);
-    reply.push_action(3, &Action::Send { request, backend, timeout_ms: 80.0 });
+    reply.push_action(3, &Action::Send { request, backend, timeout_ms: 80.0, write_by: None });
     reply.push_action(
         3,
         &Action::Reject { request, retry_after_ms: 500.0, reason: UnservedReason::TierLimit },
--- a/crates/simulation/src/policy.rs
+++ b/crates/simulation/src/policy.rs
@@ -189,7 +189,7 @@
         let mut tried = tried;
         tried.push(backend);
         self.open.insert(id, OpenRequest { server_index: at, attempts: attempts + 1, tried });
-        actions.push(Action::Send { request: id, backend, timeout_ms: 0.0 });
+        actions.push(Action::Send { request: id, backend, timeout_ms: 0.0, write_by: None });
     }
 
     fn on_list(&mut self, kind: ListKind, list: &[BackendInfo]) {
--- a/crates/simulation/src/sim/mod.rs
+++ b/crates/simulation/src/sim/mod.rs
@@ -328,7 +328,7 @@
 
     fn dispatch(&mut self, proxy: usize, action: Action) {
         match action {
-            Action::Send { request, backend, timeout_ms } => {
+            Action::Send { request, backend, timeout_ms, .. } => {
                 self.send_attempt(request as usize, backend as usize, timeout_ms);
             }
             Action::Reject { request, retry_after_ms, .. } => {
