A keyed retry that is partly written when its window ends is ended

Callers: a keyed request could be completed at a backend after the window, and run there once more. Evidence: the new test, with buffers of 4 KiB and a body of 60,000 bytes: completed 1.15 s after the first attempt, window 1 s. Change: an attempt whose last byte is not written when it has to be ends, and its connection with it. A request without its last byte doesn't run, so the end is safe.

--- a/crates/hillstall/tests/proxy/retry_windows.rs
+++ b/crates/hillstall/tests/proxy/retry_windows.rs
@@ -11,6 +11,10 @@
 const FIRST_ATTEMPT: Duration = Duration::from_millis(300);
 /// How long the backend accepts no connection. A SYN that was dropped meanwhile is repeated after a second.
 const UNREACHABLE_UNTIL: Duration = Duration::from_millis(1_150);
+/// Size of the system's buffers of a connection, in bytes.
+const SMALL_BUFFER: usize = 4_096;
+/// Length of a request body that is buffered and longer than all these buffers, in bytes.
+const BUFFERED_BODY: usize = 60_000;
 /// How long the client waits.
 const TIMEOUT_MS: u32 = 4_000;
 
@@ -65,6 +69,35 @@
     address
 }
 
+/// A backend that ends the connection of its first request after [`FIRST_ATTEMPT`], and reads nothing of later
+/// ones until [`UNREACHABLE_UNTIL`].
+fn backend_that_reads_late(arrivals: &Arrivals) -> SocketAddr {
+    let listener = new_socket();
+    listener.set_recv_buffer_size(SMALL_BUFFER).expect("the buffer is set");
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    listener.listen(8).expect("the socket listens");
+    let address = listener.local_addr().expect("an address").as_socket().expect("an IPv4 address");
+    let listener = std::net::TcpListener::from(listener);
+    let arrivals = arrivals.clone();
+    thread::spawn(move || {
+        let (first, _) = listener.accept().expect("a connection");
+        Message::read(&mut BufReader::new(&first)).expect("a request");
+        let arrived_at = Instant::now();
+        arrivals.lock().expect("the arrivals").push(arrived_at);
+        thread::sleep(FIRST_ATTEMPT);
+        drop(first);
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            thread::sleep(UNREACHABLE_UNTIL.saturating_sub(arrived_at.elapsed()));
+            if Message::read(&mut BufReader::new(&stream)).is_some() {
+                arrivals.lock().expect("the arrivals").push(Instant::now());
+                let _ = stream.write_all(OK.as_bytes());
+            }
+        }
+    });
+    address
+}
+
 /// The time from the first arrival to each one.
 fn after_first(arrivals: &Arrivals) -> Vec<Duration> {
     let arrivals = arrivals.lock().expect("the arrivals");
@@ -76,7 +109,8 @@
     let discovery = Discovery::start(Some(endpoint_list(5, true, &[endpoint("b0", backend, "ready")])));
     let config = platform_config(discovery.address, &endpoint_list(0, true, &[]))
         .replace(r#""Window":9000"#, &format!(r#""Window":{}"#, window.as_millis()));
-    (Proxy::start(&config), discovery)
+    let line = format!("HILLSTALL_MESSAGES_SYSTEM_BUFFER={SMALL_BUFFER}B exec \"$0\"");
+    (Proxy::start_with_shell(&line, &config), discovery)
 }
 
 // Guards against a retry that is decided within the window and written after it, as its connect took a second.
@@ -94,3 +128,15 @@
     assert_eq!(reply.status(), 502, "answered after {answered_after:?}");
     assert!(answered_after < Duration::from_millis(u64::from(TIMEOUT_MS)), "{answered_after:?}");
 }
+
+// Guards against a retry of which the first bytes are written within the window and the last ones after it.
+#[test]
+fn keyed_retry_is_not_completed_after_its_window_when_its_backend_reads_late() {
+    let arrivals = Arrivals::default();
+    let (proxy, _discovery) = start_with_window(backend_that_reads_late(&arrivals), WINDOW);
+    let reply = proxy.request(&build_request("keyed", "w2", TIMEOUT_MS, &"x".repeat(BUFFERED_BODY)));
+    thread::sleep(UNREACHABLE_UNTIL);
+    let after_first = after_first(&arrivals);
+    assert!(after_first.iter().all(|after| *after < WINDOW), "arrived at {after_first:?}");
+    assert_eq!(reply.status(), 502);
+}
--- a/crates/http1/src/client/attempt.rs
+++ b/crates/http1/src/client/attempt.rs
@@ -5,6 +5,7 @@
 use crate::backend_connection::{BackendConnection, ReceivedBody, ReceivedResponse};
 use crate::message::{BackendResponse, BackendResponseBody, ClientRequest, ClientRequestBody};
 use crate::response_body::StreamingResponseBody;
+use crate::stream::TrackedStream;
 use hillstall_decision::{BackendId, Outcome};
 use hillstall_proxy_core::metrics::Counter;
 use hillstall_proxy_core::transport::{Attempt, AttemptResult, RequestPayload, Transport};
@@ -26,6 +27,8 @@
     ExchangeFailed,
     /// The attempt reached its timeout or the deadline of the client.
     TimedOut,
+    /// The request was not complete when it had to be written.
+    WrittenTooLate,
 }
 
 /// An attempt in progress.
@@ -145,10 +148,12 @@
         connection.stream().begin_request(attempt.request.body_length(), attempt.sent_counter.clone());
         let request = forwarded_request(attempt.request, remaining, connection.stream());
         let tuning = self.limits.tuning();
+        let stream = connection.stream().clone();
         let response = tokio::select! {
             biased;
             response = connection.send(request) => response.map_err(|_| AttemptError::ExchangeFailed)?,
             () = attempt.wait_for_timeout(tuning.stall_timeout) => return Err(AttemptError::TimedOut),
+            () = attempt.wait_until_late_and_unwritten(&stream) => return Err(AttemptError::WrittenTooLate),
         };
         let stream_at = Instant::now() + attempt.remaining_time().min(tuning.max_unsized_buffering);
         let is_streamed = response.may_be_streamed(&tuning);
@@ -223,7 +228,7 @@
             // A backend starts to process a request at its last byte, so this one was not processed.
             (_, false) => Outcome::ConnectFailed,
             (AttemptError::ExchangeFailed, true) => Outcome::Reset,
-            (AttemptError::TimedOut, true) => Outcome::Timeout,
+            (AttemptError::TimedOut | AttemptError::WrittenTooLate, true) => Outcome::Timeout,
         })
     }
 }
@@ -249,6 +254,14 @@
         }
     }
 
+    /// Waits until the request may not be written any more, and for ever if all of it is written by then.
+    async fn wait_until_late_and_unwritten(&self, stream: &TrackedStream) {
+        self.wait_for_write_limit().await;
+        if stream.is_request_sent() {
+            pending::<()>().await;
+        }
+    }
+
     /// The time left for the backend to respond.
     fn remaining_time(&self) -> Duration {
         match &self.request.body {
