A client is not told to come again after the window of its keyed request

Callers: a keyed request that may have run was rejected, as if trying again were harmless, with advice to come again when backends no longer drop its repetition. Cause: the window was looked at when the rejection was decided; the client acts on it a Retry-After later. Change: the time of the advice has to lie within the window as well; otherwise the answer is a failure. The class lets clients repeat a failure within the window all the same. Measured: the new test failed before (a rejection 1840 ms into a window of 2 s, less 0.15 s, with advice) and passes now.

--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -297,6 +297,9 @@
             &self.latencies[request.class],
             || self.random.next_unit(),
         );
+        if !retry::may_client_retry(class, request.may_have_run, self.now + retry_after_ms) {
+            return actions.push(Action::Fail { request: id, reason });
+        }
         actions.push(Action::Reject { request: id, retry_after_ms, reason });
     }
 
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -106,6 +106,32 @@
     }
 }
 
+// Guards against a rejection whose advice makes the client come again after the window.
+#[test]
+fn with_an_idempotency_key_a_client_is_not_told_to_come_again_after_the_dedup_window() {
+    let mut settings =
+        Settings { classes: vec![class(RetrySafety::IdempotencyKey, DedupScope::All)], ..settings() };
+    settings.permissions.max_attempts = 1;
+    settings.permissions.retry_after = true;
+    settings.permissions.max_retry_after_ms = 5_000.0;
+    let mut rejected = 0;
+    for step in 0..185 {
+        let mut p = Proxy::new(settings.clone(), &backends(8));
+        let sent = p.send_request(0, 0, 4_000.0).expect("sent");
+        let window_end = p.now + DEDUP_WINDOW_MS;
+        p.now += 10.0 * f64::from(step);
+        assert_eq!(p.end(sent, Outcome::Reset), None);
+        assert!(p.rejected() || p.failed());
+        let advice = p.last.iter().find_map(|action| match action {
+            Action::Reject { retry_after_ms, .. } => Some(*retry_after_ms),
+            _ => None,
+        });
+        rejected += usize::from(advice.is_some());
+        assert!(advice.is_none_or(|advice| p.now + advice < window_end - MAX_PAUSE_MS), "{advice:?}");
+    }
+    assert!(rejected > 0, "requests are rejected early in the window");
+}
+
 #[test]
 fn with_an_idempotency_key_and_no_backend_left_in_its_dedup_scope_a_request_fails() {
     let mut p = proxy(RetrySafety::IdempotencyKey, DedupScope::Zone, &[in_zone(1, 0), in_zone(2, 1)]);
