Requests and responses survive reads and writes that transfer less than there is

Callers: a request whose bytes were read in part was not read on; the client got no response and lost its connection after 2.5 s. Cause: tokio's read takes a transfer shorter than the buffer as a sign that the socket is empty and waits for the system to report more, which it doesn't do for bytes that were there before. Change: package socket-io: a wait for readiness begins only when a call would block; an interrupted call is repeated. http1 uses it.

--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod run;
 pub mod server;
 pub mod soak;
+pub mod system_faults;
 pub mod tcp_proxy;
 pub mod udp_proxy;
 
--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -21,6 +21,7 @@
 mod shutdown_transfers;
 mod slow_transfers;
 mod streams;
+mod system_calls;
 mod unfinished_requests;
 use harness::*;
 use std::io::{BufReader, ErrorKind, Read, Write};
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hillstall_proxy_core::metrics::Counter;
 use hillstall_proxy_core::tuning::Tuning;
+use hillstall_socket_io::{poll_read, poll_write};
 use hyper::body::Frame;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
@@ -19,7 +20,7 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, Interest, ReadBuf};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 /// Maximum number of bytes read from the socket at once.
@@ -36,7 +37,7 @@
 /// A TCP stream that records when data was last read and written, and how far the current message has got.
 /// The peer is a client, a backend or the discovery service.
 pub struct TrackedStream {
-    socket: RefCell<TcpStream>,
+    socket: TcpStream,
     last_read: Cell<Instant>,
     message_started_at: Cell<Option<Instant>>,
     /// When the peer was last known to have more to send of its message: a read found no data, or the first
@@ -100,7 +101,7 @@
         let _ = options.set_send_buffer_size(buffer_bytes).and(options.set_recv_buffer_size(buffer_bytes));
         let now = Instant::now();
         Rc::new(TrackedStream {
-            socket: RefCell::new(socket),
+            socket,
             last_read: Cell::new(now),
             message_started_at: Cell::new(None),
             starved_at: Cell::new(now),
@@ -121,7 +122,7 @@
     /// Waits until there is data to read or the connection has been closed.
     pub async fn readable(&self) {
         // An error is also reported by the next read.
-        let _ = poll_fn(|cx| self.socket.borrow().poll_read_ready(cx)).await;
+        let _ = poll_fn(|cx| self.socket.poll_read_ready(cx)).await;
     }
 
     /// Whether a client is between two requests, with nothing of the next one read. Always true for other
@@ -280,14 +281,13 @@
 
     /// Number of unread bytes in the socket, at most 1; 0 means that the peer has closed the connection.
     fn peek(&self) -> Result<usize> {
-        SockRef::from(&*self.socket.borrow()).peek(&mut [MaybeUninit::uninit()])
+        SockRef::from(&self.socket).peek(&mut [MaybeUninit::uninit()])
     }
 
     /// Whether the peer has closed the connection, or its sending side, even if data that it sent before is
     /// still unread. Reads don't show that until they have come to the end of the data.
     pub fn has_peer_closed(&self) -> bool {
-        let socket = self.socket.borrow();
-        let ready = pin!(socket.ready(Interest::READABLE));
+        let ready = pin!(self.socket.ready(Interest::READABLE));
         // The runtime knows the readiness without a system call, and keeps a close for good.
         match ready.poll(&mut Context::from_waker(Waker::noop())) {
             Poll::Ready(Ok(ready)) => ready.is_read_closed(),
@@ -321,45 +321,34 @@
 
 impl Read for HyperStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, mut buf: ReadBufCursor<'_>) -> Poll<Result<()>> {
-        let mut buffer = [MaybeUninit::uninit(); READ_BUFFER_BYTES];
+        let mut buffer = [0; READ_BUFFER_BYTES];
         let capacity = buf.remaining().min(READ_BUFFER_BYTES);
-        let mut read = ReadBuf::uninit(&mut buffer[..capacity]);
-        // A read that does not fill the buffer shows tokio that no more data is available, which saves a
-        // system call.
-        let polled = Pin::new(&mut *self.0.socket.borrow_mut()).poll_read(cx, &mut read);
+        let polled = poll_read(&self.0.socket, cx, &mut buffer[..capacity]);
         if polled.is_pending() {
             self.0.on_starved();
         }
-        ready!(polled)?;
-        self.0.on_read(read.filled());
-        buf.put_slice(read.filled());
+        let read = &buffer[..ready!(polled)?];
+        self.0.on_read(read);
+        buf.put_slice(read);
         Poll::Ready(Ok(()))
     }
 }
 
 impl Write for HyperStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
-        loop {
-            let written = {
-                let socket = self.0.socket.borrow();
-                ready!(socket.poll_write_ready(cx))?;
-                socket.try_write(buf)
-            };
-            match written {
-                Ok(n) => {
-                    self.0.request_progress.borrow_mut().record(&buf[..n]);
-                    self.0.write_blocked.set(n < buf.len());
-                    self.0.last_write_progress.set(Instant::now());
-                    return Poll::Ready(Ok(n));
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    if !self.0.write_blocked.replace(true) {
-                        self.0.last_write_progress.set(Instant::now());
-                    }
-                }
-                Err(e) => return Poll::Ready(Err(e)),
+        let polled = poll_write(&self.0.socket, cx, buf);
+        match &polled {
+            Poll::Ready(Ok(written)) => {
+                self.0.request_progress.borrow_mut().record(&buf[..*written]);
+                self.0.write_blocked.set(*written < buf.len());
+                self.0.last_write_progress.set(Instant::now());
             }
+            Poll::Pending if !self.0.write_blocked.replace(true) => {
+                self.0.last_write_progress.set(Instant::now());
+            }
+            _ => {}
         }
+        polled
     }
 
     /// hyper calls this only when its write buffer is empty.
@@ -369,6 +358,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0.socket.borrow()).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&self.0.socket).shutdown(Shutdown::Write))
     }
 }
