Admin commands, handover and coordination read on after short reads as well

Callers: PING at a newer process was not answered, so an upgrade would not have gone on. Coordination has no test of its own for it yet.

--- a/crates/coordination/src/connections.rs
+++ b/crates/coordination/src/connections.rs
@@ -9,6 +9,7 @@
 use futures_util::{SinkExt, Stream};
 use hillstall_consensus::frame::{Frame, MAX_FRAME_BYTES};
 use hillstall_lease::Instance;
+use hillstall_socket_io::SocketStream;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::time::Duration;
@@ -29,7 +30,7 @@
 /// Maximum number of connections that other instances may have open to this replica.
 const MAX_INBOUND_CONNECTIONS: usize = 2_048;
 
-type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
+type FramedStream = Framed<SocketStream<TcpStream>, LengthDelimitedCodec>;
 
 /// An event on a connection, for the event loop.
 pub enum ConnectionEvent {
@@ -106,7 +107,8 @@
 fn framed(stream: TcpStream) -> FramedStream {
     // Fails only on a closed connection, which the first read or write reports as well.
     let _ = stream.set_nodelay(true);
-    Framed::new(stream, LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec())
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    Framed::new(SocketStream(stream), codec)
 }
 
 /// A connection that this instance opens to a replica, and opens again whenever it breaks. Dropping it closes
--- a/crates/hillstall/src/admin.rs
+++ b/crates/hillstall/src/admin.rs
@@ -7,6 +7,7 @@
 use hillstall_proxy_core::lifecycle::{Lifecycle, Phase};
 use hillstall_proxy_core::limits::MAX_ADMIN_CONNECTIONS;
 use hillstall_proxy_core::metrics::Metrics;
+use hillstall_socket_io::SocketStream;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -68,7 +69,8 @@
         }
     }
 
-    async fn serve_connection(&self, mut stream: TcpStream) -> std::io::Result<()> {
+    async fn serve_connection(&self, stream: TcpStream) -> std::io::Result<()> {
+        let mut stream = SocketStream(stream);
         let answer = match read_line(&mut stream).await? {
             Some(line) => self.execute(&line).await,
             None => "400 the line is too long\n".to_string(),
@@ -114,7 +116,7 @@
 
 /// Reads a line and strips its line ending; returns `None` if it is too long. The end of the stream also ends
 /// a line.
-async fn read_line(stream: &mut TcpStream) -> std::io::Result<Option<Vec<u8>>> {
+async fn read_line(stream: &mut SocketStream<TcpStream>) -> std::io::Result<Option<Vec<u8>>> {
     let mut line = Vec::with_capacity(MAX_LINE_BYTES);
     let mut buffer = [0; MAX_LINE_BYTES];
     loop {
@@ -136,7 +138,7 @@
 }
 
 /// Reads and drops what a client sends after its line, up to [`MAX_TRAILING_BYTES`].
-async fn discard_trailing_bytes(stream: &mut TcpStream) -> std::io::Result<()> {
+async fn discard_trailing_bytes(stream: &mut SocketStream<TcpStream>) -> std::io::Result<()> {
     let mut buffer = [0; MAX_LINE_BYTES];
     let mut discarded = 0;
     while discarded < MAX_TRAILING_BYTES {
--- a/crates/hillstall/src/handover.rs
+++ b/crates/hillstall/src/handover.rs
@@ -5,13 +5,14 @@
 
 use hillstall_http1::server::open_ids::IdChange;
 use hillstall_http1::server::HttpServer;
+use hillstall_socket_io::SocketStream;
 use std::cell::Cell;
 use std::future::pending;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{split, AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::spawn_local;
@@ -26,12 +27,15 @@
 /// The byte that the older process sends once it is within its half of the resources.
 const REDUCED: u8 = b'1';
 
+/// The connection between the two processes of an upgrade.
+type HandoverStream = SocketStream<UnixStream>;
+
 /// This process's connections to an older and a newer process of the same proxy.
 pub struct Handover {
     socket_path: PathBuf,
     /// The connection to the older process, if there is one. The task of [`Handover::start`] takes it out and
     /// waits until it closes.
-    older: Cell<Option<UnixStream>>,
+    older: Cell<Option<HandoverStream>>,
     has_newer: Cell<bool>,
 }
 
@@ -41,7 +45,7 @@
     pub async fn connect(folder: &Path, listen: SocketAddr) -> Rc<Handover> {
         let socket_path = folder.join(format!("hillstall-{}-{}.sock", listen.ip(), listen.port()));
         let older = match UnixStream::connect(&socket_path).await {
-            Ok(stream) => wait_for_reduction(stream).await,
+            Ok(stream) => wait_for_reduction(SocketStream(stream)).await,
             Err(_) => None,
         };
         Rc::new(Handover { socket_path, older: Cell::new(older), has_newer: Cell::new(false) })
@@ -77,7 +81,7 @@
             // One newer process at a time: a third one waits, at most until its time-out, and then starts
             // anyway.
             match listener.accept().await {
-                Ok((newer, _)) => self.serve_newer(newer, &server).await,
+                Ok((newer, _)) => self.serve_newer(SocketStream(newer), &server).await,
                 Err(_) => sleep(ACCEPT_RETRY_INTERVAL).await,
             }
         }
@@ -102,7 +106,7 @@
 
     /// Reduces this process to half of the resources, notifies the newer one, and takes all resources back
     /// once the newer one has ended.
-    async fn serve_newer(&self, mut newer: UnixStream, server: &HttpServer) {
+    async fn serve_newer(&self, mut newer: HandoverStream, server: &HttpServer) {
         self.has_newer.set(true);
         server.apply_resource_share(1);
         let until_reduced = async {
@@ -125,7 +129,7 @@
 }
 
 /// Waits until the older process has reduced its resource usage; returns `None` if it ends meanwhile.
-async fn wait_for_reduction(mut older: UnixStream) -> Option<UnixStream> {
+async fn wait_for_reduction(mut older: HandoverStream) -> Option<HandoverStream> {
     let mut byte = [0];
     match timeout(REDUCE_TIMEOUT, older.read(&mut byte)).await {
         Ok(Ok(1)) if byte[0] == REDUCED => Some(older),
@@ -141,9 +145,9 @@
 }
 
 /// Exchanges the ids of open requests with the other process until it has closed the connection.
-async fn share_open_ids(mut other: UnixStream, server: &HttpServer) {
+async fn share_open_ids(other: HandoverStream, server: &HttpServer) {
     let ids = server.open_request_ids();
-    let (reader, mut writer) = other.split();
+    let (reader, mut writer) = split(other);
     let (sender, mut changes) = unbounded_channel();
     ids.connect_peer(sender);
     let send_changes = async {
--- a/crates/hillstall/tests/proxy/harness.rs
+++ b/crates/hillstall/tests/proxy/harness.rs
@@ -293,9 +293,14 @@
     /// Starts a newer process at the same address, as an upgrade does; returns it and its admin address once
     /// it reports to serve.
     pub fn start_newer(&self, config: &str) -> (Proxy, SocketAddr) {
+        self.start_newer_with("", config)
+    }
+
+    /// Like [`Proxy::start_newer`], with environment variables as a shell writes them.
+    pub fn start_newer_with(&self, variables: &str, config: &str) -> (Proxy, SocketAddr) {
         let (listener, admin) = bind_free_port();
         drop(listener);
-        let line = format!("NODE_ADMIN_ADDR={admin} exec \"$0\"");
+        let line = format!("{variables} NODE_ADMIN_ADDR={admin} exec \"$0\"");
         let (mut command, config) = proxy_command(&line, config, self.address);
         let newer = Proxy {
             address: self.address,
--- a/crates/hillstall/tests/proxy/system_calls.rs
+++ b/crates/hillstall/tests/proxy/system_calls.rs
@@ -1,7 +1,7 @@
 //! System calls that fail for a moment, in the ways that Linux documents.
 
 use super::*;
-use hillstall_fault_injection::system_faults::{error_number, SystemFault, SystemFaults};
+use hillstall_fault_injection::system_faults::{SystemFault, SystemFaults};
 
 /// Starts a proxy whose system calls can be made to fail; `before` sets the faults of its start.
 fn start_with_faults(
@@ -14,11 +14,15 @@
         backends.iter().enumerate().map(|(i, backend)| endpoint(&format!("b{i}"), backend.address, "ready"));
     let discovery = Discovery::start(Some(endpoint_list(5, true, &names.collect::<Vec<_>>())));
     let config = platform_config(discovery.address, &endpoint_list(0, true, &[]));
-    let variables = faults.environment().map(|(name, value)| format!("{name}={}", value.display()));
-    let proxy = Proxy::start_with_shell(&format!("{} exec \"$0\"", variables.join(" ")), &config);
+    let proxy = Proxy::start_with_shell(&format!("{} exec \"$0\"", variables(&faults)), &config);
     (proxy, discovery, faults)
 }
 
+/// The environment of a process with these faults, as a shell writes it.
+fn variables(faults: &SystemFaults) -> String {
+    faults.environment().map(|(name, value)| format!("{name}={}", value.display())).join(" ")
+}
+
 // Guards against connections that are not read any more after a read that returned less than there was.
 #[test]
 fn short_reads_and_writes_lose_no_request() {
@@ -38,3 +42,27 @@
     assert_eq!(backend.request_count(), 9);
     assert!(faults.injected_count().expect("the count") > 0, "no transfer was short");
 }
+
+// Guards against admin commands, and ids told to the other process of an upgrade, that are read only in part.
+#[test]
+fn short_reads_leave_no_admin_command_and_no_id_of_an_upgrade_unread() {
+    let backend = Backend::start(|_, stream| {
+        thread::sleep(Duration::from_millis(1_500));
+        stream.write_all(OK.as_bytes()).is_ok()
+    });
+    let (proxy, discovery, faults) = start_with_faults(&[&backend], |faults| {
+        faults.set(SystemFault::MaxTransferBytes, 1).expect("the fault is set");
+    });
+    let config = platform_config(discovery.address, &endpoint_list(0, true, &[]));
+    let (newer, admin) = proxy.start_newer_with(&variables(&faults), &config);
+    assert!(admin_command(admin, "INFO\n").ends_with("EOF\n"));
+    let id = "an-id-of-many-bytes";
+    let open = connect_and_send(proxy.address, &build_request("once", id, 8_000, "x"));
+    wait_until("the request runs", || backend.request_count() == 1);
+    // Connections are spread over both processes; each has to know the id.
+    for _ in 0..8 {
+        let reply = newer.request(&build_request("once", id, 8_000, "x"));
+        assert_eq!(reply.status(), 409);
+    }
+    assert_eq!(read_response(&open).expect("a response").status(), 200);
+}
