A process starts although its sockets can't be opened for a moment

Callers: a process whose first socket failed with ENFILE or ENOBUFS ended with an error, which is a crash, and nobody listened. Cause: each error of listen, bind and connect at the start was taken as final. Change: errors whose cause is at this machine and may pass are tried again for up to 5 s; others end the start at once as before. The connect to an older process is treated alike, as an older one that is missed would leave both with all limits (read, not played).

--- a/crates/hillstall/src/handover.rs
+++ b/crates/hillstall/src/handover.rs
@@ -5,6 +5,7 @@
 
 use hillstall_http1::server::open_ids::IdChange;
 use hillstall_http1::server::HttpServer;
+use hillstall_proxy_core::sockets;
 use hillstall_socket_io::SocketStream;
 use std::cell::Cell;
 use std::future::pending;
@@ -44,7 +45,7 @@
     /// reduced its resource usage. `folder` must be the same for both processes.
     pub async fn connect(folder: &Path, listen: SocketAddr) -> Rc<Handover> {
         let socket_path = folder.join(format!("hillstall-{}-{}.sock", listen.ip(), listen.port()));
-        let older = match UnixStream::connect(&socket_path).await {
+        let older = match sockets::open_with_retries(|| UnixStream::connect(&socket_path)).await {
             Ok(stream) => wait_for_reduction(SocketStream(stream)).await,
             Err(_) => None,
         };
--- a/crates/hillstall/src/proxy.rs
+++ b/crates/hillstall/src/proxy.rs
@@ -85,7 +85,7 @@
     let address = config.listen;
     let handover = Handover::connect(&std::env::temp_dir(), address).await;
     // If an older process serves this address, this one listens there only once it can serve as well.
-    let early_listener = if handover.has_older() { None } else { Some(bind_clients(address)?) };
+    let early_listener = if handover.has_older() { None } else { Some(bind_clients(address).await?) };
     let admin_listener = bind_admin(config.admin).await?;
     let hangup = install_signal("SIGHUP", SignalKind::hangup())?;
     let mut terminate = install_signal("SIGTERM", SignalKind::terminate())?;
@@ -106,7 +106,7 @@
         Some(listener) => listener,
         None => {
             tokio::select! {
-                () = wait_until_ready(&proxy.server) => bind_clients(address)?,
+                () = wait_until_ready(&proxy.server) => bind_clients(address).await?,
                 // No connection has been accepted yet, so there is nothing to drain.
                 _ = terminate.recv() => return Ok(()),
             }
@@ -119,13 +119,14 @@
     Ok(())
 }
 
-fn bind_clients(address: SocketAddr) -> Result<TcpListener, RunError> {
-    sockets::listen(address).map_err(|source| RunError::Listen { address, source })
+async fn bind_clients(address: SocketAddr) -> Result<TcpListener, RunError> {
+    let listener = sockets::open_with_retries(|| async { sockets::listen(address) }).await;
+    listener.map_err(|source| RunError::Listen { address, source })
 }
 
 async fn bind_admin(address: Option<SocketAddr>) -> Result<Option<TcpListener>, RunError> {
     let Some(address) = address else { return Ok(None) };
-    match TcpListener::bind(address).await {
+    match sockets::open_with_retries(|| TcpListener::bind(address)).await {
         Ok(listener) => Ok(Some(listener)),
         Err(source) => Err(RunError::AdminListen { address, source }),
     }
--- a/crates/hillstall/tests/proxy/system_calls.rs
+++ b/crates/hillstall/tests/proxy/system_calls.rs
@@ -1,7 +1,7 @@
 //! System calls that fail for a moment, in the ways that Linux documents.
 
 use super::*;
-use hillstall_fault_injection::system_faults::{SystemFault, SystemFaults};
+use hillstall_fault_injection::system_faults::{error_number, SystemFault, SystemFaults};
 
 /// Starts a proxy whose system calls can be made to fail; `before` sets the faults of its start.
 fn start_with_faults(
@@ -10,12 +10,17 @@
 ) -> (Proxy, Discovery, SystemFaults) {
     let faults = SystemFaults::new().expect("the library of faults is compiled");
     before(&faults);
+    let (proxy, discovery) = start_with(backends, &faults);
+    (proxy, discovery, faults)
+}
+
+/// Starts a proxy with these faults.
+fn start_with(backends: &[&Backend], faults: &SystemFaults) -> (Proxy, Discovery) {
     let names =
         backends.iter().enumerate().map(|(i, backend)| endpoint(&format!("b{i}"), backend.address, "ready"));
     let discovery = Discovery::start(Some(endpoint_list(5, true, &names.collect::<Vec<_>>())));
     let config = platform_config(discovery.address, &endpoint_list(0, true, &[]));
-    let proxy = Proxy::start_with_shell(&format!("{} exec \"$0\"", variables(&faults)), &config);
-    (proxy, discovery, faults)
+    (Proxy::start_with_shell(&format!("{} exec \"$0\"", variables(faults)), &config), discovery)
 }
 
 /// The environment of a process with these faults, as a shell writes it.
@@ -66,3 +71,92 @@
     }
     assert_eq!(read_response(&open).expect("a response").status(), 200);
 }
+
+/// How long a fault lasts that is to be survived.
+const MOMENT: Duration = Duration::from_millis(300);
+
+/// Turns a fault off after [`MOMENT`].
+fn clear_after_a_moment(faults: &SystemFaults, fault: SystemFault) {
+    thread::sleep(MOMENT);
+    faults.set(fault, 0).expect("the fault is cleared");
+}
+
+// Guards against a process that ends at its start because a socket can't be opened for a moment.
+#[test]
+fn a_process_starts_although_no_socket_can_be_opened_for_a_moment() {
+    for error in [error_number::ENFILE, error_number::ENOBUFS] {
+        let backend = Backend::answering(OK);
+        let cleared = std::sync::Mutex::new(None);
+        let faults = SystemFaults::new().expect("the library of faults is compiled");
+        faults.set(SystemFault::SocketError, error).expect("the fault is set");
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                wait_until("the fault bites", || faults.injected_count().expect("the count") > 0);
+                clear_after_a_moment(&faults, SystemFault::SocketError);
+                *cleared.lock().unwrap() = Some(Instant::now());
+            });
+            let (proxy, _discovery) = start_with(&[&backend], &faults);
+            assert!(cleared.lock().unwrap().is_some(), "error {error}: it served before");
+            assert_eq!(
+                proxy.request(&build_request("once", "a1", 8_000, "x")).status(),
+                200,
+                "error {error}"
+            );
+        });
+    }
+}
+
+// Guards against clients that are not accepted any more after accepting failed for a moment.
+#[test]
+fn clients_that_connect_while_accepting_fails_are_served() {
+    let backend = Backend::answering(OK);
+    let (proxy, _discovery, faults) = start_with_faults(&[&backend], |_| {});
+    for error in [error_number::ECONNABORTED, error_number::ENFILE, error_number::ENOBUFS] {
+        faults.set(SystemFault::AcceptError, error).expect("the fault is set");
+        let clients: Vec<TcpStream> = (0..4)
+            .map(|n| {
+                connect_and_send(proxy.address, &build_request("once", &format!("e{error}-{n}"), 8_000, "x"))
+            })
+            .collect();
+        clear_after_a_moment(&faults, SystemFault::AcceptError);
+        for client in &clients {
+            assert_eq!(read_response(client).map(|reply| reply.status()), Some(200), "error {error}");
+        }
+    }
+    assert!(faults.injected_count().expect("the count") > 0, "accepting did not fail");
+}
+
+// Guards against a request that is sent again after its connection broke in another way than by a reset.
+#[test]
+fn a_request_whose_connection_times_out_or_becomes_unreachable_is_not_sent_twice() {
+    for error in [error_number::ETIMEDOUT, error_number::EHOSTUNREACH] {
+        let backend = Backend::start(|_, stream| {
+            thread::sleep(MOMENT);
+            stream.write_all(OK.as_bytes()).is_ok()
+        });
+        let (proxy, _discovery, faults) = start_with_faults(&[&backend, &Backend::answering(OK)], |_| {});
+        let client = connect_and_send(proxy.address, &build_request("once", "g1", 8_000, "x"));
+        wait_until("the request runs or is answered", || {
+            backend.request_count() == 1 || matches!(client.peek(&mut [0]), Ok(1))
+        });
+        faults.set(SystemFault::ReadError, error).expect("the fault is set");
+        clear_after_a_moment(&faults, SystemFault::ReadError);
+        // The client's own connection may have broken as well.
+        let _ = read_response(&client);
+        assert!(backend.request_count() <= 1, "error {error}");
+        assert_eq!(proxy.request(&build_request("once", "g2", 8_000, "x")).status(), 200, "error {error}");
+    }
+}
+
+// Guards against a process that ends or stops when its waits are interrupted.
+#[test]
+fn interrupted_waits_lose_no_request() {
+    let backend = Backend::answering(OK);
+    let (proxy, _discovery, faults) = start_with_faults(&[&backend], |faults| {
+        faults.set(SystemFault::InterruptWaits, 1).expect("the fault is set");
+    });
+    for n in 0..50 {
+        assert_eq!(proxy.request(&build_request("once", &format!("i{n}"), 8_000, "x")).status(), 200);
+    }
+    assert!(faults.injected_count().expect("the count") > 0, "no wait was interrupted");
+}
--- a/crates/proxy-core/src/sockets.rs
+++ b/crates/proxy-core/src/sockets.rs
@@ -1,11 +1,13 @@
-//! Opening and closing listening sockets, and recognising that file descriptors have run out.
+//! Opening and closing sockets, and recognising errors whose cause is at this machine.
 
 use socket2::{SockFilter, SockRef};
+use std::future::Future;
 use std::io::Result;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::time::sleep;
 
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
@@ -13,6 +15,11 @@
 /// Upper bound of the duration of a TCP handshake with a client in the same site.
 pub const MAX_HANDSHAKE_DURATION: Duration = Duration::from_millis(5);
 
+/// How long the start of a process waits for the end of a fault at this machine.
+const MAX_LOCAL_FAULT: Duration = Duration::from_secs(5);
+/// Pause between two attempts to open a socket while a fault at this machine lasts.
+pub const LOCAL_FAULT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Listens on an address on which another process may listen at the same time (`SO_REUSEPORT`), as during an
 /// upgrade.
 ///
@@ -62,3 +69,34 @@
     const EMFILE: i32 = 24;
     matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
 }
+
+/// Whether opening, binding or connecting a socket failed for a cause at this machine that may be over in a
+/// moment, such as a lack of buffers or of local ports, or a network that is down.
+pub fn is_local_fault(error: &std::io::Error) -> bool {
+    const ENOMEM: i32 = 12;
+    const EADDRNOTAVAIL: i32 = 99;
+    const ENETDOWN: i32 = 100;
+    const ENETUNREACH: i32 = 101;
+    const ECONNABORTED: i32 = 103;
+    const ENOBUFS: i32 = 105;
+    const LOCAL: [i32; 6] = [ENOMEM, EADDRNOTAVAIL, ENETDOWN, ENETUNREACH, ECONNABORTED, ENOBUFS];
+    out_of_descriptors(error) || error.raw_os_error().is_some_and(|number| LOCAL.contains(&number))
+}
+
+/// Opens a socket by `open`, which is repeated while it fails for a cause that may be over in a moment, for at
+/// most [`MAX_LOCAL_FAULT`].
+///
+/// # Errors
+///
+/// The last error of `open`.
+pub async fn open_with_retries<T, F: Future<Output = Result<T>>>(open: impl Fn() -> F) -> Result<T> {
+    let started_at = Instant::now();
+    loop {
+        match open().await {
+            Err(error) if is_local_fault(&error) && started_at.elapsed() < MAX_LOCAL_FAULT => {
+                sleep(LOCAL_FAULT_RETRY_INTERVAL).await;
+            }
+            result => return result,
+        }
+    }
+}
