Requests outlast a moment in which this machine can't connect to backends

Callers: 503 for every request that needed a new connection while connect or socket failed with EADDRNOTAVAIL, ENOBUFS or the like; backends were counted as failing for it. Cause: each failing connect ended its attempt, and all attempts of a request were over within a millisecond. Change: a connect that fails for a fault at this machine is repeated every 10 ms, for up to 1 s or the time of the attempt; then the attempt counts as not sent, or as failed to connect where only the way to this backend may be missing.

--- a/crates/hillstall/tests/proxy/system_calls.rs
+++ b/crates/hillstall/tests/proxy/system_calls.rs
@@ -126,6 +126,38 @@
     assert!(faults.injected_count().expect("the count") > 0, "accepting did not fail");
 }
 
+// Guards against requests that are given up, and backends that are blamed, for a fault of this machine.
+#[test]
+fn requests_outlast_a_moment_in_which_no_backend_can_be_connected_to() {
+    let errors = [
+        error_number::EADDRNOTAVAIL,
+        error_number::ENETUNREACH,
+        error_number::ENOBUFS,
+        error_number::ECONNABORTED,
+    ];
+    for error in errors {
+        for fault in [SystemFault::ConnectError, SystemFault::SocketError] {
+            let backends = [(); 3].map(|()| Backend::answering(OK));
+            let (proxy, _discovery, faults) =
+                start_with_faults(&[&backends[0], &backends[1], &backends[2]], |_| {});
+            faults.set(fault, error).expect("the fault is set");
+            let clients: Vec<TcpStream> = (0..10)
+                .map(|n| {
+                    let class = ["read", "keyed", "once"][n % 3];
+                    let body = if class == "read" { "" } else { "x" };
+                    connect_and_send(proxy.address, &build_request(class, &format!("f{n}"), 8_000, body))
+                })
+                .collect();
+            clear_after_a_moment(&faults, fault);
+            for client in &clients {
+                let status = read_response(client).map(|reply| reply.status());
+                assert_eq!(status, Some(200), "{fault:?} {error}");
+            }
+            assert!(faults.injected_count().expect("the count") > 0, "no connect failed");
+        }
+    }
+}
+
 // Guards against a request that is sent again after its connection broke in another way than by a reset.
 #[test]
 fn a_request_whose_connection_times_out_or_becomes_unreachable_is_not_sent_twice() {
--- a/crates/http1/src/client/connect.rs
+++ b/crates/http1/src/client/connect.rs
@@ -4,14 +4,18 @@
 use crate::backend_connection::BackendConnection;
 use hillstall_decision::Outcome;
 use hillstall_proxy_core::limits::Reservation;
-use hillstall_proxy_core::sockets::out_of_descriptors;
+use hillstall_proxy_core::sockets::{is_local_fault, out_of_descriptors, LOCAL_FAULT_RETRY_INTERVAL};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{sleep, timeout, timeout_at};
+
+/// How long connects are repeated while a fault at this machine lasts.
+const MAX_LOCAL_FAULT: Duration = Duration::from_secs(1);
 
 /// The result of one connect. The error is the outcome of an attempt that needed the connection.
 type ConnectResult = Result<BackendConnection, Outcome>;
@@ -80,20 +84,36 @@
     /// that is no sign of a problem at the backend.
     pub(super) async fn connect(&self, address: SocketAddr, until: Instant) -> ConnectResult {
         let reservation = self.reserve_connection().ok_or(Outcome::NotSent)?;
-        let until = until.min(Instant::now() + self.connect_timeout);
-        let stream = match timeout_at(until.into(), TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(e)) if out_of_descriptors(&e) => {
-                self.close_longest_idle();
-                return Err(Outcome::NotSent);
-            }
-            _ => return Err(Outcome::ConnectFailed),
-        };
+        let stream = self.open_socket(address, until).await?;
         BackendConnection::open(stream, reservation, &self.limits.tuning())
             .await
             .map_err(|_| Outcome::ConnectFailed)
     }
 
+    /// Connects a socket. While that fails for a fault at this machine it is repeated, as the request could not
+    /// be sent to any other backend either.
+    async fn open_socket(&self, address: SocketAddr, until: Instant) -> Result<TcpStream, Outcome> {
+        let retry_until = until.min(Instant::now() + MAX_LOCAL_FAULT);
+        loop {
+            let connect_until = until.min(Instant::now() + self.connect_timeout);
+            let error = match timeout_at(connect_until.into(), TcpStream::connect(address)).await {
+                Ok(Ok(stream)) => return Ok(stream),
+                Ok(Err(error)) if is_local_fault(&error) => error,
+                _ => return Err(Outcome::ConnectFailed),
+            };
+            if out_of_descriptors(&error) {
+                self.close_longest_idle();
+            }
+            if Instant::now() + LOCAL_FAULT_RETRY_INTERVAL >= retry_until {
+                tracing::debug!(%address, %error, "attempt: no connection can be opened at this machine");
+                // There may be a network to other backends.
+                let is_backend_specific = error.kind() == ErrorKind::NetworkUnreachable;
+                return Err(if is_backend_specific { Outcome::ConnectFailed } else { Outcome::NotSent });
+            }
+            sleep(LOCAL_FAULT_RETRY_INTERVAL).await;
+        }
+    }
+
     /// Reserves a new connection, and closes idle ones if the limit is reached; `None` if there are none to
     /// close.
     fn reserve_connection(&self) -> Option<Reservation> {
