Slow start lasts a span of real time, whatever the wall clock says

Cause: the time of a start in a list was compared with this machine's wall clock, as it was at the start of the process. Change: a start that is new in a list is not in the future, and at most 1 s old, or as old as the last list if discovery failed since. Measured: both tests failed before and pass now: clocks an hour ahead and behind at the start, steps of an hour and of 5 s later. A start whose news came over 1 s late has its slow start up to that much longer; the cost of that was not measured.

--- a/crates/decision/src/backend.rs
+++ b/crates/decision/src/backend.rs
@@ -33,6 +33,8 @@
     unanswered_since: Millis,
     health: Health,
     health_by_class: Vec<Health>,
+    /// Clock time of its last start as far as it is credible; `None` if that was long ago.
+    started_at: Option<Millis>,
     /// Budget of requests while the backend is in slow start.
     pub(crate) slow_start: SlowStartBudget,
     /// Clock time at which the backend was listed as draining, if it was ready until then and has rejected or
@@ -41,10 +43,16 @@
 }
 
 impl Backend {
-    /// Creates a backend with full health and no requests.
-    pub(crate) fn new(info: BackendInfo, classes: usize, slow_start: SlowStartBudget) -> Backend {
+    /// Creates a backend with full health and no requests, whose last start was at `started_at`.
+    pub(crate) fn new(
+        info: BackendInfo,
+        started_at: Option<Millis>,
+        classes: usize,
+        slow_start: SlowStartBudget,
+    ) -> Backend {
         Backend {
             info,
+            started_at,
             in_flight: 0.0,
             slowness: 1.0,
             slowness_samples: 0.0,
@@ -85,7 +93,7 @@
 
     /// Returns the fraction of its capacity that the backend is guaranteed to have, from 0 to 1.
     pub(crate) fn ready_fraction(&self, now: Millis, rules: &Rules) -> f64 {
-        ready_fraction(self.info.started_at, now, rules)
+        ready_fraction(self.started_at, now, rules)
     }
 
     /// Returns the factor on the weight that results from the state: 1 if ready, falling to 0 while the
--- a/crates/decision/src/endpoints.rs
+++ b/crates/decision/src/endpoints.rs
@@ -14,6 +14,8 @@
 const MAX_BACKOFF_DOUBLINGS: i32 = 5;
 /// Maximum backoff before jitter, as a fraction of the prescribed poll interval.
 const MAX_BACKOFF_FRACTION: f64 = 1.0 / 4.0;
+/// How old a start is at most when discovery tells it, in milliseconds, unless discovery has failed.
+const MAX_NEWS_DELAY_MS: Millis = 1_000.0;
 /// Minimum factor of the random jitter on a backoff; the maximum is 1 more.
 const MIN_JITTER: f64 = 0.5;
 
@@ -26,6 +28,37 @@
     /// Whether no update can have been missed since the last list. That is known only with a subscription,
     /// which reports gaps.
     is_continuous: bool,
+    list_times: ListTimes,
+}
+
+/// When lists arrived, which bounds how long ago a backend that is new in a list can have started. The wall
+/// clock by which lists tell the time of a start may differ from that of this machine by any amount.
+#[derive(Default)]
+struct ListTimes {
+    /// When discovery last sent a list; `None` before the first.
+    last: Option<Millis>,
+    /// Whether discovery has failed since.
+    has_failed: bool,
+}
+
+impl ListTimes {
+    /// Records a list from discovery.
+    fn record(&mut self, now: Millis) {
+        self.last = Some(now);
+        self.has_failed = false;
+    }
+
+    /// The clock time of a start that a list tells as `started_at` and no list before has told. It is not in
+    /// the future, and not long before the last list, which would have told it. Nothing bounds the age of what
+    /// is in the first list.
+    fn credible_start(&self, started_at: Option<Millis>, now: Millis) -> Option<Millis> {
+        let earliest = match self.last {
+            None => f64::MIN,
+            Some(last) if self.has_failed => last - MAX_NEWS_DELAY_MS,
+            Some(_) => now - MAX_NEWS_DELAY_MS,
+        };
+        started_at.map(|started_at| started_at.clamp(earliest.min(now), now))
+    }
 }
 
 impl Endpoints {
@@ -73,6 +106,7 @@
     /// Records that updates may be missed until the next list arrives.
     pub(crate) fn on_discovery_failure(&mut self) {
         self.is_continuous = false;
+        self.list_times.has_failed = true;
     }
 
     /// Applies a complete list or an update.
@@ -93,7 +127,12 @@
         for info in list {
             // The random initial token keeps many instances from all sending to a new backend at once.
             let budget = SlowStartBudget::new(random.next_unit(), now);
-            self.apply_entry(*info, &previous, || Backend::new(*info, settings.classes.len(), budget), now);
+            let started_at = self.list_times.credible_start(info.started_at, now);
+            let create = || Backend::new(*info, started_at, settings.classes.len(), budget);
+            self.apply_entry(*info, &previous, create, now);
+        }
+        if kind != ListKind::Cached {
+            self.list_times.record(now);
         }
         self.is_continuous = settings.must_subscribe && kind != ListKind::Cached;
         self.backends.retain(|backend| backend.info.state != BackendState::Gone || backend.in_flight > 0.0);
--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -4,6 +4,7 @@
 mod access_log;
 mod admin_commands;
 mod body_memory;
+mod clock_steps;
 mod commands;
 mod departed_clients;
 mod handover;
