--- a/crates/decision/src/endpoints.rs
+++ b/crates/decision/src/endpoints.rs
@@ -48,9 +48,9 @@
         self.has_failed = false;
     }
 
-    /// The clock time of a start that a list tells as `started_at` and no list before has told. It is not in
-    /// the future, and not long before the last list, which would have told it. Nothing bounds the age of what
-    /// is in the first list.
+    /// The clock time of a start that a list tells as `started_at` and no list before has told. It is not
+    /// in the future, and not long before the last list, which would have told it. Nothing bounds the age
+    /// of what is in the first list.
     fn credible_start(&self, started_at: Option<Millis>, now: Millis) -> Option<Millis> {
         let earliest = match self.last {
             None => f64::MIN,
