The deadline of a request counts from when its client may have written it

Callers: a client that sends requests ahead had its second request passed on with 3.997 s when 3.476 s were left; such requests may be answered later than 0.5 s after their time as well. Change: each request that has been read knows when its client was last seen not to be done: a read found no more data, or, if data came while nobody read, when the runtime learned of it.

--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -6,6 +6,7 @@
 mod body_memory;
 mod clock_steps;
 mod commands;
+mod deadlines;
 mod departed_clients;
 mod handover;
 mod harness;
--- a/crates/http1/src/server/connection_task.rs
+++ b/crates/http1/src/server/connection_task.rs
@@ -6,7 +6,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -49,6 +51,7 @@
         loop {
             tokio::select! {
                 biased;
+                () = note_arrival(connection) => {}
                 // An error means that the client has disconnected or sent invalid HTTP. The connection ends,
                 // and dropping the guard of an open request cancels it.
                 _ = &mut http => return ConnectionState::Closed,
@@ -79,6 +82,14 @@
     }
 }
 
+/// Records the arrival of data whenever the task of the connection is polled; is never ready.
+fn note_arrival(connection: &ClientConnection) -> impl Future<Output = ()> + '_ {
+    poll_fn(|_| {
+        connection.stream.note_arrival();
+        Poll::Pending
+    })
+}
+
 /// Waits until a parked connection has data to read; false if it must be closed instead.
 async fn wait_until_readable(connection: &ClientConnection) -> bool {
     loop {
--- a/crates/http1/src/server/request.rs
+++ b/crates/http1/src/server/request.rs
@@ -91,6 +91,7 @@
     ) -> ClientResponse {
         connection.last_response.take();
         connection.requests_dispatched.set(connection.requests_dispatched.get() + 1);
+        connection.stream.forget_completions_before(connection.requests_dispatched.get());
         let result = self.respond(connection, request).await;
         let is_streaming = result.as_ref().is_ok_and(|response| response.body().busy_connection.is_some());
         let discards_body = !is_streaming && finish_request(connection);
@@ -179,9 +180,10 @@
         };
         connection.start_request(streaming_body.clone());
         let open_request = self.metrics.begin(metadata.class);
-        // The timeout runs from the last byte of the request, which has been read unless the body is
-        // streamed.
-        metadata.deadline = connection.stream.last_read() + timeout;
+        // The timeout runs from when the client wrote the last byte of the request, which may be long before it
+        // was read. That of a streamed body, which has not been read, is known later.
+        let completed_at = connection.stream.earliest_completion(connection.requests_dispatched.get());
+        metadata.deadline = completed_at.unwrap_or_else(|| connection.stream.last_read()) + timeout;
         let deadline = metadata.deadline;
         let log_context = AccessLogContext::new(connection, &metadata, id, tuning);
         let is_head = request.method == Method::HEAD;
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -12,6 +12,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
 use std::io::{ErrorKind, Result};
 use std::mem::MaybeUninit;
@@ -60,6 +61,7 @@
     request_progress: RefCell<WriteProgress>,
     /// The framing of the received requests, if the peer is a client.
     framing: Option<RefCell<RequestFraming>>,
+    completions: RefCell<Completions>,
     /// Number of bytes that the peer must send within each request timeout.
     min_bytes_per_window: usize,
 }
@@ -77,6 +79,30 @@
     }
 }
 
+/// When the last bytes of the requests that have been read may have been written at the earliest.
+#[derive(Default)]
+struct Completions {
+    /// Number of requests before the first of `times`.
+    forgotten: u64,
+    times: VecDeque<Instant>,
+}
+
+impl Completions {
+    /// Records that `completed` requests have been read by now, and that the client was not done with the last
+    /// ones at `incomplete_at`.
+    fn record(&mut self, completed: u64, incomplete_at: Instant) {
+        let known = self.forgotten + self.times.len() as u64;
+        self.times.extend((known..completed).map(|_| incomplete_at));
+    }
+
+    /// Forgets the requests before this one, as far as they are complete.
+    fn forget_before(&mut self, request: u64) {
+        while self.forgotten + 1 < request && self.times.pop_front().is_some() {
+            self.forgotten += 1;
+        }
+    }
+}
+
 impl TrackedStream {
     /// Wraps the socket of a backend or of discovery. Nagle's algorithm is turned off, so that small messages
     /// don't wait for an acknowledgement.
@@ -115,6 +141,7 @@
             read_window: Cell::new(ReadWindow::starting_at(now)),
             request_progress: RefCell::default(),
             framing,
+            completions: RefCell::default(),
             min_bytes_per_window: tuning.request_bytes_per_timeout,
         })
     }
@@ -214,10 +241,38 @@
         let is_complete = window.bytes_read >= self.min_bytes_per_window;
         self.read_window.set(if is_complete { ReadWindow::starting_at(now) } else { window });
         if let Some(framing) = &self.framing {
-            framing.borrow_mut().advance(bytes);
+            let mut framing = framing.borrow_mut();
+            framing.advance(bytes);
+            self.completions.borrow_mut().record(framing.completed(), self.starved_at.get());
         }
     }
 
+    /// Records that data has arrived, if the last read found none and the runtime knows of some by now. Called
+    /// whenever the connection is polled, as the data may be read only long after its arrival.
+    pub fn note_arrival(&self) {
+        if !self.is_starved.get() {
+            return;
+        }
+        let ready = pin!(self.socket.ready(Interest::READABLE));
+        if ready.poll(&mut Context::from_waker(Waker::noop())).is_ready() {
+            self.is_starved.set(false);
+            self.starved_at.set(Instant::now());
+        }
+    }
+
+    /// The earliest time at which the client may have written the last byte of a request, by the number of the
+    /// request on this connection, from 1; `None` if it has not been read.
+    pub fn earliest_completion(&self, request: u64) -> Option<Instant> {
+        let mut completions = self.completions.borrow_mut();
+        completions.forget_before(request);
+        completions.times.front().copied().filter(|_| completions.forgotten + 1 == request)
+    }
+
+    /// Forgets when the requests before this one were completed.
+    pub fn forget_completions_before(&self, request: u64) {
+        self.completions.borrow_mut().forget_before(request);
+    }
+
     /// Whether writing has been blocked for `stall_timeout` without progress, because the peer does not read.
     pub fn is_write_stalled(&self, stall_timeout: Duration) -> bool {
         self.write_blocked.get() && self.last_write_progress.get().elapsed() >= stall_timeout
