A replica goes on when its disk works again

Callers: after one failed write or sync (ENOSPC, EIO) a replica was halted until its process was started again, and with it the leases, incidents and changes; a fleet of one replica stored nothing any more. Cause: an error of the storage was taken as final, and redb serves nothing after an error until the file is opened anew. Nothing acknowledged was lost. Change: a replica whose storage failed tries every 0.5 s to start from its contents, as a new process would; after an error the file is closed and opened anew. A replica whose start could not be counted doesn't take part before. Measured: the new test failed before and passes now (three faults; a kill and a start at the end of each).

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -26,7 +26,7 @@
 
 use crate::log::RaftLog;
 use crate::state::State;
-use crate::storage::{PersistentState, ReplicaStorage, WriteBatch};
+use crate::storage::{PersistentState, ReplicaStorage, ReplicaStorageError, WriteBatch};
 use hillstall_lease::Millis;
 use membership::KnownPeer;
 use raft::{Config, RawNode, StateRole};
@@ -47,6 +47,8 @@
 const MAX_MESSAGES_IN_FLIGHT: usize = 64;
 /// The maximum size of all entries that are proposed and not committed.
 const MAX_UNCOMMITTED_BYTES: u64 = 4 * MAX_MESSAGE_BYTES;
+/// The time between two attempts to load a storage that has failed.
+const STORAGE_RETRY_INTERVAL_MS: Millis = 500;
 /// The slot is in the bits of a replica's id from this one on; the bits below are random.
 const SLOT_SHIFT: u32 = 32;
 /// The random bits of a replica's id, which distinguish the storages that a slot has had.
@@ -85,6 +87,8 @@
     applied_index: u64,
     /// Why this replica has halted; `None` while it runs.
     halt_reason: Option<String>,
+    /// When a replica whose storage has failed loads it again.
+    storage_retry_at: Option<Millis>,
     ticked_at: Millis,
     announced_at: Option<Millis>,
     /// The term and role for which `election_timeout_ticks` was drawn.
@@ -123,6 +127,7 @@
             state: State::default(),
             applied_index: 0,
             halt_reason: None,
+            storage_retry_at: None,
             ticked_at: now,
             announced_at: None,
             timeout_drawn_for: None,
@@ -151,7 +156,7 @@
         }
         match loaded {
             Ok(persistent) => self.resume(persistent),
-            Err(error) => self.halt(error.to_string()),
+            Err(error) => self.on_storage_failure(&error),
         }
     }
 
@@ -159,14 +164,46 @@
     fn resume(&mut self, persistent: PersistentState) {
         self.persistent = persistent;
         let boot = self.persistent.boot + 1;
-        self.save(WriteBatch { boot: Some(boot), ..WriteBatch::default() });
-        if self.persistent.participates {
+        let is_saved = self.save(WriteBatch { boot: Some(boot), ..WriteBatch::default() });
+        if is_saved && self.persistent.participates {
             if let Ok(log) = RaftLog::read(&self.persistent) {
                 self.start_raft(log);
             }
         }
     }
 
+    /// Halts this replica until its storage works again.
+    fn on_storage_failure(&mut self, error: &ReplicaStorageError) {
+        // One line for each run of failures.
+        if self.storage_retry_at.is_none() {
+            self.log(format!("{error}; the replica is halted until its storage works again"));
+        }
+        self.raft = None;
+        self.halt_reason = Some(error.to_string());
+        self.storage_retry_at = Some(self.now + STORAGE_RETRY_INTERVAL_MS);
+    }
+
+    /// Starts again from the contents of the storage, as a new process would: what the failed write should have
+    /// stored may be there or not, and was told to nobody.
+    fn restart_from_storage(&mut self) {
+        self.halt_reason = None;
+        self.incarnation = self.random.next_u64();
+        self.acknowledged_by.clear();
+        self.known_peers.clear();
+        self.announced_at = None;
+        self.timeout_drawn_for = None;
+        self.join_requests.clear();
+        self.snapshots_in_flight.clear();
+        self.members_changed = false;
+        self.received_at.clear();
+        self.pending_reads.clear();
+        self.load();
+        if self.halt_reason.is_none() {
+            self.storage_retry_at = None;
+            self.log("the storage works again; the replica starts from its contents".into());
+        }
+    }
+
     /// Writes a batch to the storage. Returns whether that succeeded; if not, this replica halts.
     fn save(&mut self, batch: WriteBatch) -> bool {
         if batch.is_empty() {
@@ -186,7 +223,7 @@
                 true
             }
             Err(error) => {
-                self.halt(error.to_string());
+                self.on_storage_failure(&error);
                 false
             }
         }
@@ -246,6 +283,9 @@
     /// heartbeats meanwhile.
     pub fn tick(&mut self, now: Millis) {
         self.now = now;
+        if self.storage_retry_at.is_some_and(|retry_at| retry_at <= now) {
+            self.restart_from_storage();
+        }
         if self.halt_reason.is_some() {
             return;
         }
--- a/crates/consensus/src/replica/membership.rs
+++ b/crates/consensus/src/replica/membership.rs
@@ -164,7 +164,7 @@
                 self.incarnation = self.random.next_u64();
                 self.save(WriteBatch { boot: Some(1), ..WriteBatch::default() });
             }
-            Err(error) => self.halt(error.to_string()),
+            Err(error) => self.on_storage_failure(&error),
         }
     }
 
--- a/crates/coordination/src/redb_storage.rs
+++ b/crates/coordination/src/redb_storage.rs
@@ -42,7 +42,8 @@
 pub struct RedbStorage {
     slot: usize,
     path: PathBuf,
-    /// `None` only while [`ReplicaStorage::reset`] replaces the file.
+    /// `None` while [`ReplicaStorage::reset`] replaces the file, and from a failure to the next
+    /// [`ReplicaStorage::load`]: after an error of the file, the database has to be opened anew.
     database: Option<Database>,
     header: StoredHeader,
 }
@@ -121,6 +122,27 @@
         Ok(())
     }
 
+    /// Opens the database, unless it is open.
+    fn ensure_open(&mut self) -> Result<(), ReplicaStorageError> {
+        if self.database.is_none() {
+            let reopened = RedbStorage::open(self.directory(), self.slot).map_err(storage_error)?;
+            self.database = reopened.database;
+        }
+        Ok(())
+    }
+
+    fn directory(&self) -> &Path {
+        self.path.parent().unwrap_or(Path::new("."))
+    }
+
+    /// Passes a result on; after an error the database is closed.
+    fn close_on_error<T>(&mut self, result: Result<T, redb::Error>) -> Result<T, ReplicaStorageError> {
+        if result.is_err() {
+            self.database = None;
+        }
+        result.map_err(storage_error)
+    }
+
     /// Reads the stored state; `None` in a new file.
     fn read(&self) -> Result<Option<PersistentState>, redb::Error> {
         let transaction = self.database()?.begin_read()?;
@@ -152,7 +174,8 @@
         let random = RandomState::new().hash_one(std::process::id());
         let id = new_replica_id(self.slot, random);
         self.header = StoredHeader { version: FORMAT_VERSION, id, ..StoredHeader::default() };
-        self.write(&WriteBatch::default(), &self.header).map_err(storage_error)?;
+        let written = self.write(&WriteBatch::default(), &self.header);
+        self.close_on_error(written)?;
         Ok(PersistentState { id, ..PersistentState::default() })
     }
 }
@@ -197,7 +220,9 @@
 
 impl ReplicaStorage for RedbStorage {
     fn load(&mut self) -> Result<PersistentState, ReplicaStorageError> {
-        let Some(state) = self.read().map_err(storage_error)? else { return self.initialize() };
+        self.ensure_open()?;
+        let stored = self.read();
+        let Some(state) = self.close_on_error(stored)? else { return self.initialize() };
         self.header = StoredHeader {
             version: FORMAT_VERSION,
             id: state.id,
@@ -217,7 +242,8 @@
         if let Some(founders) = &batch.founders {
             header.founders.clone_from(founders);
         }
-        self.write(&batch, &self.header).map_err(storage_error)
+        let written = self.write(&batch, &self.header);
+        self.close_on_error(written)
     }
 
     fn reset(&mut self) -> Result<PersistentState, ReplicaStorageError> {
--- a/crates/hillstall/tests/proxy/main.rs
+++ b/crates/hillstall/tests/proxy/main.rs
@@ -8,6 +8,7 @@
 mod commands;
 mod deadlines;
 mod departed_clients;
+mod disk_faults;
 mod handover;
 mod harness;
 mod idle_resets;
