A replica starts on a storage file whose creation was cut off

Callers: a replica that was killed while it created its file never started again; its instance had no coordination until somebody removed the file. Cause: a file without redb's magic number, which is written last, was reported as an error that can't be mended. Change: such a file is set aside like a damaged one, and a new one is created. Measured: the new test failed before (1 byte of zeros first) and passes now: 1, 8, 4,096 and 1,000,000 bytes.

--- a/crates/coordination/src/redb_storage.rs
+++ b/crates/coordination/src/redb_storage.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, RandomState};
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 
 const META_TABLE: TableDefinition<'_, &str, Vec<u8>> = TableDefinition::new("meta");
@@ -74,6 +75,15 @@
     },
 }
 
+/// Whether the file is no database, or a damaged one. A file whose creation was cut off is none yet.
+fn is_corrupt(error: &redb::StorageError) -> bool {
+    match error {
+        redb::StorageError::Corrupted(_) => true,
+        redb::StorageError::Io(error) => error.kind() == ErrorKind::InvalidData,
+        _ => false,
+    }
+}
+
 fn storage_error(error: impl std::fmt::Display) -> ReplicaStorageError {
     ReplicaStorageError(error.to_string())
 }
@@ -95,9 +105,9 @@
                 Ok(RedbStorage { slot, path, database: Some(database), header: StoredHeader::default() })
             }
             Err(redb::DatabaseError::DatabaseAlreadyOpen) => Err(StorageError::InUse),
-            Err(redb::DatabaseError::Storage(redb::StorageError::Corrupted(error))) => {
+            Err(redb::DatabaseError::Storage(error)) if is_corrupt(&error) => {
                 tracing::warn!(
-                    error,
+                    %error,
                     "coordination: replica storage is corrupt; renaming the file and starting with a new one"
                 );
                 std::fs::rename(&path, path.with_extension(CORRUPT_EXTENSION))
--- a/crates/hillstall/tests/proxy/disk_faults.rs
+++ b/crates/hillstall/tests/proxy/disk_faults.rs
@@ -105,3 +105,14 @@
         });
     }
 }
+
+// Guards against a file that was being created when its process was killed, and is taken for another's.
+#[test]
+fn a_replica_starts_on_a_file_whose_creation_was_cut_off() {
+    for length in [1, 8, 4_096, 1_000_000] {
+        let replica = Replica::new();
+        std::fs::write(replica.disk().join("keeper-0.redb"), vec![0; length]).expect("the file is written");
+        let (_proxy, admin) = replica.start();
+        open_incident(admin, "after");
+    }
+}
