A replica whose disk fails at its start waits until the disk works

Callers: an instance whose disk failed while its process started had no coordination until it was restarted. Cause: each error of opening the storage but a lock was taken as final. Change: the storage is opened again every 0.1 s, as while another process has it; a missing folder is final as before.

--- a/crates/coordination/src/runtime/exclusive.rs
+++ b/crates/coordination/src/runtime/exclusive.rs
@@ -14,8 +14,8 @@
 /// Pause between two attempts to acquire a resource.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Opens a replica's storage, retrying while another process has it open. `None` if it can't be opened for
-/// another reason, or if this process ends first.
+/// Opens a replica's storage, retrying while another process has it open or the disk fails. `None` if its
+/// directory is missing, or if this process ends first.
 pub async fn open_storage(
     directory: &Path,
     slot: usize,
@@ -34,13 +34,19 @@
                 }
                 is_logged = true;
             }
-            Err(error) => {
+            Err(error @ StorageError::MissingDirectory { .. }) => {
                 tracing::error!(
                     slot, %error,
                     "coordination: replica storage can't be opened; no coordination until restarted"
                 );
                 return None;
             }
+            Err(error) => {
+                if !is_logged {
+                    tracing::warn!(slot, %error, "coordination: replica storage can't be opened; retrying");
+                }
+                is_logged = true;
+            }
         }
         retry_pause(requests).await?;
     }
--- a/crates/hillstall/tests/proxy/disk_faults.rs
+++ b/crates/hillstall/tests/proxy/disk_faults.rs
@@ -106,6 +106,22 @@
     }
 }
 
+// Guards against a replica that never starts because its disk failed at the start of its process.
+#[test]
+fn a_replica_starts_once_its_disk_works() {
+    for (fault, error) in
+        [(SystemFault::FileWriteError, error_number::ENOSPC), (SystemFault::FileSyncError, error_number::EIO)]
+    {
+        let replica = Replica::new();
+        replica.faults.set(fault, error).expect("the fault is set");
+        let (_proxy, admin) = replica.start();
+        thread::sleep(FAILING);
+        assert!(replica.faults.injected_count().expect("the count") > 0, "{fault:?} did not bite");
+        replica.faults.set(fault, 0).expect("the fault is cleared");
+        open_incident(admin, "after");
+    }
+}
+
 // Guards against a file that was being created when its process was killed, and is taken for another's.
 #[test]
 fn a_replica_starts_on_a_file_whose_creation_was_cut_off() {
