Connections in the queue of a closing listener are accepted although accepting fails for a moment

Callers: during an upgrade, clients whose connections waited at the older process were reset with their requests written. Cause: the last emptying of the queue ended at the first error, whatever it was, and the close resets what is left. Change: only an empty queue ends it at once; other errors are waited out for up to 2 s, and a handover waits for it within its time.

--- a/crates/hillstall/tests/proxy/system_calls.rs
+++ b/crates/hillstall/tests/proxy/system_calls.rs
@@ -192,3 +192,27 @@
     }
     assert!(faults.injected_count().expect("the count") > 0, "no wait was interrupted");
 }
+
+// Guards against connections that wait to be accepted and are reset by the close of the listener, as accepting
+// fails just then.
+#[test]
+fn clients_that_wait_to_be_accepted_when_accepting_fails_at_a_handover_are_served() {
+    for error in [error_number::ECONNABORTED, error_number::ENFILE, error_number::ENOBUFS] {
+        let backend = Backend::answering(OK);
+        let (older, discovery, faults) = start_with_faults(&[&backend], |_| {});
+        let config = platform_config(discovery.address, &endpoint_list(0, true, &[]));
+        let (_newer, _admin) = older.start_newer(&config);
+        faults.set(SystemFault::AcceptError, error).expect("the fault is set");
+        // The system spreads the connections over the listeners of both processes.
+        let clients: Vec<TcpStream> = (0..8)
+            .map(|n| connect_and_send(older.address, &build_request("once", &format!("h{n}"), 8_000, "x")))
+            .collect();
+        older.terminate();
+        clear_after_a_moment(&faults, SystemFault::AcceptError);
+        for client in &clients {
+            let status = read_response(client).map(|reply| reply.status());
+            assert_eq!(status, Some(200), "error {error}");
+        }
+        assert!(faults.injected_count().expect("the count") > 0, "accepting did not fail");
+    }
+}
--- a/crates/http1/src/server/accept.rs
+++ b/crates/http1/src/server/accept.rs
@@ -4,8 +4,9 @@
 use super::HttpServer;
 use hillstall_proxy_core::limits::Reservation;
 use hillstall_proxy_core::sockets::{out_of_descriptors, stop_handshakes, MAX_HANDSHAKE_DURATION};
+use std::io::ErrorKind;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::sleep;
@@ -16,6 +17,23 @@
 const OUT_OF_DESCRIPTORS_PAUSE: Duration = Duration::from_millis(5);
 /// Pause of the accept loop after any other error.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(1);
+/// How long accepting may fail before the queue of a listener that is being closed is given up.
+const MAX_ACCEPT_FAILURE: Duration = Duration::from_secs(2);
+
+/// Accepts all connections in the queue of a listener. Other errors than an empty queue may pass, and are
+/// waited out for a while.
+async fn accept_queued(listener: &std::net::TcpListener) -> Vec<std::net::TcpStream> {
+    let started_at = Instant::now();
+    let mut queued = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => queued.push(stream),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return queued,
+            Err(_) if started_at.elapsed() >= MAX_ACCEPT_FAILURE => return queued,
+            Err(_) => sleep(ACCEPT_ERROR_PAUSE).await,
+        }
+    }
+}
 
 impl HttpServer {
     /// Accepts connections until a successor process takes over the address, or this process is about to
@@ -49,13 +67,8 @@
         if stop_handshakes(&listener).is_ok() {
             sleep(MAX_HANDSHAKE_DURATION).await;
         }
-        let mut queued = Vec::new();
-        if let Ok(listener) = listener.into_std() {
-            while let Ok((stream, _)) = listener.accept() {
-                queued.push(stream);
-            }
-        }
-        for stream in queued {
+        let Ok(listener) = listener.into_std() else { return };
+        for stream in accept_queued(&listener).await {
             if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
                 self.admit(stream).await;
             }
--- a/crates/http1/src/server/shutdown.rs
+++ b/crates/http1/src/server/shutdown.rs
@@ -47,7 +47,9 @@
             self.stop_accepting.notify_one();
         }
         sleep(if has_successor { MIN_HANDOVER_DURATION } else { MIN_SHUTDOWN_DURATION }).await;
-        while !self.connections.borrow().is_empty() && stopped_at.elapsed() < max_duration {
+        let is_accepting = || has_successor && !self.listener_closed.get();
+        while (is_accepting() || !self.connections.borrow().is_empty()) && stopped_at.elapsed() < max_duration
+        {
             sleep(CONNECTIONS_POLL_INTERVAL).await;
         }
         self.close_listener_and_connections().await;
