A moment in which the whole system is out of descriptors closes no client

Callers: a client whose request was just written lost its connection without an answer, new ones too, while accepting failed with ENFILE. Cause: ENFILE was treated like EMFILE: every 5 ms a client connection was closed to make room, although none of ours may be too many. Change: connections are closed at once only at the process's own limit (EMFILE); for ENFILE once it has lasted for 0.5 s. Measured: the new test failed before (client 0 closed) and passes now.

--- a/crates/hillstall/tests/proxy/system_calls.rs
+++ b/crates/hillstall/tests/proxy/system_calls.rs
@@ -126,6 +126,33 @@
     assert!(faults.injected_count().expect("the count") > 0, "accepting did not fail");
 }
 
+// Guards against clients that lose their connections, and what they have just sent, for a moment in which the whole
+// system has no descriptors.
+#[test]
+fn no_client_is_closed_for_a_moment_in_which_the_system_is_out_of_descriptors() {
+    let backend = Backend::answering(OK);
+    let (proxy, _discovery, faults) = start_with_faults(&[&backend], |_| {});
+    let mut kept: Vec<TcpStream> = (0..6)
+        .map(|n| connect_and_send(proxy.address, &build_request("once", &format!("k{n}"), 8_000, "x")))
+        .collect();
+    for client in &kept {
+        assert_eq!(read_response(client).map(|reply| reply.status()), Some(200));
+    }
+    kept.extend((0..4).map(|_| connect_and_send(proxy.address, "")));
+    assert_eq!(proxy.request("GET /up HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+    faults.set(SystemFault::AcceptError, error_number::ENFILE).expect("the fault is set");
+    let waiting = connect_and_send(proxy.address, &build_request("once", "waiting", 8_000, "x"));
+    wait_until("accepting fails", || faults.injected_count().expect("the count") > 20);
+    faults.set(SystemFault::AcceptError, 0).expect("the fault is cleared");
+    for (n, client) in kept.iter_mut().enumerate() {
+        client
+            .write_all(build_request("once", &format!("l{n}"), 8_000, "x").as_bytes())
+            .expect("a request is written");
+        assert_eq!(read_response(client).map(|reply| reply.status()), Some(200), "client {n}");
+    }
+    assert_eq!(read_response(&waiting).map(|reply| reply.status()), Some(200));
+}
+
 // Guards against requests that are given up, and backends that are blamed, for a fault of this machine.
 #[test]
 fn requests_outlast_a_moment_in_which_no_backend_can_be_connected_to() {
--- a/crates/http1/src/server/accept.rs
+++ b/crates/http1/src/server/accept.rs
@@ -3,7 +3,9 @@
 use super::client_connection::ClientConnection;
 use super::HttpServer;
 use hillstall_proxy_core::limits::Reservation;
-use hillstall_proxy_core::sockets::{out_of_descriptors, stop_handshakes, MAX_HANDSHAKE_DURATION};
+use hillstall_proxy_core::sockets::{
+    is_process_limit, out_of_descriptors, stop_handshakes, MAX_HANDSHAKE_DURATION,
+};
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,6 +17,8 @@
 const MAX_ADMIT_ATTEMPTS: u32 = 4;
 /// Pause of the accept loop when the process is out of file descriptors.
 const OUT_OF_DESCRIPTORS_PAUSE: Duration = Duration::from_millis(5);
+/// How long the whole system may be out of descriptors before connections are closed for it.
+const MAX_SYSTEM_SHORTAGE: Duration = Duration::from_millis(500);
 /// Pause of the accept loop after any other error.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(1);
 /// How long accepting may fail before the queue of a listener that is being closed is given up.
@@ -39,6 +43,7 @@
     /// Accepts connections until a successor process takes over the address, or this process is about to
     /// exit. Then closes the listener, after admitting the connections that are still in its queue.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let mut failing_since = None;
         loop {
             let accepted = tokio::select! {
                 biased;
@@ -46,10 +51,17 @@
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => self.admit(stream).await,
-                // Errors must not end the loop. If file descriptors have run out, a connection is closed.
+                Ok((stream, _)) => {
+                    failing_since = None;
+                    self.admit(stream).await;
+                }
+                // Errors must not end the loop. If this process has no descriptors left, a connection is closed.
+                // Others may have used up those of the whole system, and give them back in a moment.
                 Err(e) if out_of_descriptors(&e) => {
-                    let _ = self.shed_connection() || self.client.close_longest_idle();
+                    let since: &mut Instant = failing_since.get_or_insert_with(Instant::now);
+                    if is_process_limit(&e) || since.elapsed() >= MAX_SYSTEM_SHORTAGE {
+                        let _ = self.shed_connection() || self.client.close_longest_idle();
+                    }
                     sleep(OUT_OF_DESCRIPTORS_PAUSE).await;
                 }
                 // Mostly a client that disconnected before it was accepted.
--- a/crates/proxy-core/src/sockets.rs
+++ b/crates/proxy-core/src/sockets.rs
@@ -63,13 +63,21 @@
     ]
 }
 
+/// The whole system has no file descriptors left.
+const ENFILE: i32 = 23;
+/// The process has no file descriptors left.
+const EMFILE: i32 = 24;
+
 /// Whether an operation failed because the process or the whole system has no file descriptors left.
 pub fn out_of_descriptors(error: &std::io::Error) -> bool {
-    const ENFILE: i32 = 23;
-    const EMFILE: i32 = 24;
     matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
 }
 
+/// Whether an operation failed because this process has no file descriptors left.
+pub fn is_process_limit(error: &std::io::Error) -> bool {
+    error.raw_os_error() == Some(EMFILE)
+}
+
 /// Whether opening, binding or connecting a socket failed for a cause at this machine that may be over in a
 /// moment, such as a lack of buffers or of local ports, or a network that is down.
 pub fn is_local_fault(error: &std::io::Error) -> bool {
