--- a/crates/fault-injection/shims/system_faults.c
+++ b/crates/fault-injection/shims/system_faults.c
@@ -54,18 +54,10 @@
     return 1;
 }
 
-static int is_socket(int fd) {
+static int is_of_type(int fd, mode_t type) {
     struct stat status;
     int saved = errno;
-    int is = fstat(fd, &status) == 0 && S_ISSOCK(status.st_mode);
-    errno = saved;
-    return is;
-}
-
-static int is_regular_file(int fd) {
-    struct stat status;
-    int saved = errno;
-    int is = fstat(fd, &status) == 0 && S_ISREG(status.st_mode);
+    int is = fstat(fd, &status) == 0 && (status.st_mode & S_IFMT) == type;
     errno = saved;
     return is;
 }
@@ -115,12 +107,12 @@
 }
 
 ssize_t read(int fd, void *buffer, size_t length) {
-    return NEXT(read)(fd, buffer, is_socket(fd) ? shortened(length) : length);
+    return NEXT(read)(fd, buffer, is_of_type(fd, S_IFSOCK) ? shortened(length) : length);
 }
 
 ssize_t write(int fd, const void *buffer, size_t length) {
-    if (is_regular_file(fd) && fails(FILE_WRITE_ERROR)) return -1;
-    return NEXT(write)(fd, buffer, is_socket(fd) ? shortened(length) : length);
+    if (is_of_type(fd, S_IFREG) && fails(FILE_WRITE_ERROR)) return -1;
+    return NEXT(write)(fd, buffer, is_of_type(fd, S_IFSOCK) ? shortened(length) : length);
 }
 
 ssize_t pwrite64(int fd, const void *buffer, size_t length, off64_t offset) {
--- a/crates/hillstall/tests/proxy/clock_steps.rs
+++ b/crates/hillstall/tests/proxy/clock_steps.rs
@@ -51,8 +51,7 @@
         let config = platform_config(discovery.address, &endpoint_list(0, true, &[]))
             .replace(r#""Cold":8000"#, &format!(r#""Cold":{}"#, WARMUP.as_millis()))
             .replace("\"automatic\"", "\"subscribe\"");
-        let variables = faults.environment().map(|(name, value)| format!("{name}={}", value.display()));
-        let proxy = Proxy::start_with_shell(&format!("{} exec \"$0\"", variables.join(" ")), &config);
+        let proxy = Proxy::start_with_shell(&format!("{} exec \"$0\"", fault_variables(&faults)), &config);
         Site { proxy, discovery, faults, warm, fresh: working_backend() }
     }
 
@@ -120,8 +119,7 @@
     site.discovery.set_list(endpoint_list(5, true, &entries));
     let config = platform_config(site.discovery.address, &endpoint_list(0, true, &[]))
         .replace(r#""Cold":8000"#, &format!(r#""Cold":{}"#, WARMUP.as_millis()));
-    let variables = site.faults.environment().map(|(name, value)| format!("{name}={}", value.display()));
-    let proxy = Proxy::start_with_shell(&format!("{} exec \"$0\"", variables.join(" ")), &config);
+    let proxy = Proxy::start_with_shell(&format!("{} exec \"$0\"", fault_variables(&site.faults)), &config);
     let site = Site { proxy, ..site };
     site.assert_warms_up("first list");
 }
--- a/crates/hillstall/tests/proxy/departed_clients.rs
+++ b/crates/hillstall/tests/proxy/departed_clients.rs
@@ -43,19 +43,12 @@
 
 /// An address at which connects don't complete: its queue is full. The sockets have to be kept.
 fn unreachable_address() -> (SocketAddr, Vec<socket2::Socket>) {
-    let new_socket =
-        || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     let listener = new_socket();
     listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
     listener.listen(0).expect("the socket listens");
     let address = listener.local_addr().expect("an address").as_socket().expect("an IPv4 address");
     let mut sockets = vec![listener];
-    for _ in 0..4 {
-        let queued = new_socket();
-        queued.set_nonblocking(true).expect("the socket is set");
-        let _ = queued.connect(&address.into());
-        sockets.push(queued);
-    }
+    sockets.extend(fill_queue(address));
     (address, sockets)
 }
 
--- a/crates/hillstall/tests/proxy/disk_faults.rs
+++ b/crates/hillstall/tests/proxy/disk_faults.rs
@@ -53,8 +53,7 @@
     fn start(&self) -> (Proxy, SocketAddr) {
         let (listener, admin) = bind_free_port();
         drop(listener);
-        let variables = self.faults.environment().map(|(name, value)| format!("{name}={}", value.display()));
-        let (variables, operator) = (variables.join(" "), self.operator_file());
+        let (variables, operator) = (fault_variables(&self.faults), self.operator_file());
         let line =
             format!("{variables} NODE_ADMIN_ADDR={admin} exec \"$0\" run --operator {}", operator.display());
         (Proxy::start_with_shell(&line, &self.config), admin)
--- a/crates/hillstall/tests/proxy/harness.rs
+++ b/crates/hillstall/tests/proxy/harness.rs
@@ -4,6 +4,8 @@
 #![allow(clippy::unwrap_used, reason = "a panic in a test helper fails the test")]
 
 pub use hillstall_fault_injection::reserved_port::ReservedPort;
+use hillstall_fault_injection::system_faults::SystemFaults;
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -401,6 +403,28 @@
     (command, path)
 }
 
+/// The environment of a process whose system calls can be made to fail, as a shell writes it.
+pub fn fault_variables(faults: &SystemFaults) -> String {
+    faults.environment().map(|(name, value)| format!("{name}={}", value.display())).join(" ")
+}
+
+/// A TCP socket that is not bound.
+pub fn new_socket() -> Socket {
+    Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket")
+}
+
+/// Fills the queue of a listener that was made for none, so that further connects wait until it accepts. The
+/// sockets have to be kept.
+pub fn fill_queue(address: SocketAddr) -> Vec<Socket> {
+    let connects = (0..4).map(|_| {
+        let queued = new_socket();
+        queued.set_nonblocking(true).expect("the socket is set");
+        let _ = queued.connect(&address.into());
+        queued
+    });
+    connects.collect()
+}
+
 /// Builds a valid request of a class, with the method and headers that the class needs.
 pub fn build_request(class: &str, id: &str, timeout_ms: u32, body: &str) -> String {
     let method = if class == "read" { "GET" } else { "POST" };
--- a/crates/hillstall/tests/proxy/retry_windows.rs
+++ b/crates/hillstall/tests/proxy/retry_windows.rs
@@ -1,8 +1,7 @@
 //! Requests with an idempotency key whose retry would reach a backend when it no longer drops repetitions.
 
 use super::*;
-use socket2::{Domain, Socket, Type};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 
 /// How long backends drop repetitions of a keyed request.
@@ -11,8 +10,9 @@
 const FIRST_ATTEMPT: Duration = Duration::from_millis(300);
 /// How long the backend accepts no connection. A SYN that was dropped meanwhile is repeated after a second.
 const UNREACHABLE_UNTIL: Duration = Duration::from_millis(1_150);
-/// Size of the system's buffers of a connection, in bytes.
+/// Sizes of the system's buffers of a connection, in bytes.
 const SMALL_BUFFER: usize = 4_096;
+const USUAL_BUFFER: usize = 128 * 1_024;
 /// Length of a request body that is buffered and longer than all these buffers, in bytes.
 const BUFFERED_BODY: usize = 60_000;
 /// How long the client waits.
@@ -21,81 +21,65 @@
 /// When each request had arrived.
 type Arrivals = Arc<Mutex<Vec<Instant>>>;
 
-fn new_socket() -> Socket {
-    Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket")
+/// Starts a backend on a listener with this queue and these buffers, in a thread of its own.
+fn start_backend(queue: i32, buffer: usize, serve: impl FnOnce(TcpListener) + Send + 'static) -> SocketAddr {
+    let listener = new_socket();
+    listener.set_recv_buffer_size(buffer).expect("the buffer is set");
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    listener.listen(queue).expect("the socket listens");
+    let address = listener.local_addr().expect("an address").as_socket().expect("an IPv4 address");
+    thread::spawn(move || serve(listener.into()));
+    address
 }
 
-/// Fills the queue of a listener, so that further connects wait. The sockets have to be kept.
-fn fill_queue(address: SocketAddr) -> Vec<Socket> {
-    let connects = (0..4).map(|_| {
-        let queued = new_socket();
-        queued.set_nonblocking(true).expect("the socket is set");
-        let _ = queued.connect(&address.into());
-        queued
-    });
-    connects.collect()
+/// Reads the first request and returns its connection after [`FIRST_ATTEMPT`], and when the request had arrived.
+fn receive_first(listener: &TcpListener, arrivals: &Arrivals) -> (TcpStream, Instant) {
+    let (first, _) = listener.accept().expect("a connection");
+    Message::read(&mut BufReader::new(&first)).expect("a request");
+    let arrived_at = Instant::now();
+    arrivals.lock().expect("the arrivals").push(arrived_at);
+    thread::sleep(FIRST_ATTEMPT);
+    (first, arrived_at)
+}
+
+/// Answers the requests of a connection.
+fn answer_all(mut stream: TcpStream, arrivals: &Arrivals) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+    while Message::read(&mut reader).is_some() {
+        arrivals.lock().expect("the arrivals").push(Instant::now());
+        let _ = stream.write_all(OK.as_bytes());
+    }
 }
 
 /// A backend that ends the connection of its first request after [`FIRST_ATTEMPT`], lets connects wait until
 /// [`UNREACHABLE_UNTIL`], and answers all later requests.
 fn backend_that_comes_back(arrivals: &Arrivals) -> SocketAddr {
-    let listener = new_socket();
-    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
-    listener.listen(0).expect("the socket listens");
-    let address = listener.local_addr().expect("an address").as_socket().expect("an IPv4 address");
-    let listener = std::net::TcpListener::from(listener);
     let arrivals = arrivals.clone();
-    thread::spawn(move || {
-        let (first, _) = listener.accept().expect("a connection");
-        Message::read(&mut BufReader::new(&first)).expect("a request");
-        let arrived_at = Instant::now();
-        arrivals.lock().expect("the arrivals").push(arrived_at);
-        thread::sleep(FIRST_ATTEMPT);
-        let _queued = fill_queue(address);
+    start_backend(0, USUAL_BUFFER, move |listener| {
+        let (first, arrived_at) = receive_first(&listener, &arrivals);
+        let _queued = fill_queue(listener.local_addr().expect("an address"));
         drop(first);
         thread::sleep(UNREACHABLE_UNTIL.saturating_sub(arrived_at.elapsed()));
         for stream in listener.incoming() {
-            let mut stream = stream.expect("a connection");
             let arrivals = arrivals.clone();
-            thread::spawn(move || {
-                let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
-                while Message::read(&mut reader).is_some() {
-                    arrivals.lock().expect("the arrivals").push(Instant::now());
-                    let _ = stream.write_all(OK.as_bytes());
-                }
-            });
+            thread::spawn(move || answer_all(stream.expect("a connection"), &arrivals));
         }
-    });
-    address
+    })
 }
 
 /// A backend that ends the connection of its first request after [`FIRST_ATTEMPT`], and reads nothing of later
 /// ones until [`UNREACHABLE_UNTIL`].
 fn backend_that_reads_late(arrivals: &Arrivals) -> SocketAddr {
-    let listener = new_socket();
-    listener.set_recv_buffer_size(SMALL_BUFFER).expect("the buffer is set");
-    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
-    listener.listen(8).expect("the socket listens");
-    let address = listener.local_addr().expect("an address").as_socket().expect("an IPv4 address");
-    let listener = std::net::TcpListener::from(listener);
     let arrivals = arrivals.clone();
-    thread::spawn(move || {
-        let (first, _) = listener.accept().expect("a connection");
-        Message::read(&mut BufReader::new(&first)).expect("a request");
-        let arrived_at = Instant::now();
-        arrivals.lock().expect("the arrivals").push(arrived_at);
-        thread::sleep(FIRST_ATTEMPT);
+    start_backend(8, SMALL_BUFFER, move |listener| {
+        let (first, arrived_at) = receive_first(&listener, &arrivals);
         drop(first);
         for stream in listener.incoming() {
-            let mut stream = stream.expect("a connection");
+            let stream = stream.expect("a connection");
             thread::sleep(UNREACHABLE_UNTIL.saturating_sub(arrived_at.elapsed()));
-            if Message::read(&mut BufReader::new(&stream)).is_some() {
-                arrivals.lock().expect("the arrivals").push(Instant::now());
-                let _ = stream.write_all(OK.as_bytes());
-            }
+            answer_all(stream, &arrivals);
         }
-    });
-    address
+    })
 }
 
 /// The time from the first arrival to each one.
--- a/crates/hillstall/tests/proxy/system_calls.rs
+++ b/crates/hillstall/tests/proxy/system_calls.rs
@@ -20,12 +20,7 @@
         backends.iter().enumerate().map(|(i, backend)| endpoint(&format!("b{i}"), backend.address, "ready"));
     let discovery = Discovery::start(Some(endpoint_list(5, true, &names.collect::<Vec<_>>())));
     let config = platform_config(discovery.address, &endpoint_list(0, true, &[]));
-    (Proxy::start_with_shell(&format!("{} exec \"$0\"", variables(faults)), &config), discovery)
-}
-
-/// The environment of a process with these faults, as a shell writes it.
-fn variables(faults: &SystemFaults) -> String {
-    faults.environment().map(|(name, value)| format!("{name}={}", value.display())).join(" ")
+    (Proxy::start_with_shell(&format!("{} exec \"$0\"", fault_variables(faults)), &config), discovery)
 }
 
 // Guards against connections that are not read any more after a read that returned less than there was.
@@ -59,7 +54,7 @@
         faults.set(SystemFault::MaxTransferBytes, 1).expect("the fault is set");
     });
     let config = platform_config(discovery.address, &endpoint_list(0, true, &[]));
-    let (newer, admin) = proxy.start_newer_with(&variables(&faults), &config);
+    let (newer, admin) = proxy.start_newer_with(&fault_variables(&faults), &config);
     assert!(admin_command(admin, "INFO\n").ends_with("EOF\n"));
     let id = "an-id-of-many-bytes";
     let open = connect_and_send(proxy.address, &build_request("once", id, 8_000, "x"));
