A process listens for a newer one as soon as the shared folder permits it

Callers: an upgrade interrupted service, and both processes took all limits, if the folder they share had failed at the older one's start. Cause: the socket for newer processes was bound once; an error was final. Change: it is tried every 0.5 s. A file that comes up meanwhile is left alone, as it may be a newer process's.

--- a/crates/hillstall/src/handover.rs
+++ b/crates/hillstall/src/handover.rs
@@ -23,6 +23,8 @@
 const REDUCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time between two checks whether this process is within its half of the resources.
 const REDUCE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Pause after a failed attempt to listen for newer processes.
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a failed accept.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// The byte that the older process sends once it is within its half of the resources.
@@ -77,7 +79,7 @@
             share_open_ids(older, &server).await;
             server.apply_resource_share(0);
         }
-        let Some(listener) = self.bind_socket() else { return };
+        let listener = self.bind_socket().await;
         loop {
             // One newer process at a time: a third one waits, at most until its time-out, and then starts
             // anyway.
@@ -88,20 +90,24 @@
         }
     }
 
-    /// Listens for newer processes. If that fails, the proxy still serves clients, but an upgrade interrupts
-    /// service.
-    fn bind_socket(&self) -> Option<UnixListener> {
-        // A socket file that exists at this point was left behind by a process that has ended.
+    /// Listens for newer processes, as soon as the folder permits it. Until then the proxy serves clients, but
+    /// an upgrade interrupts service.
+    async fn bind_socket(&self) -> UnixListener {
+        // A socket file that exists at this point was left behind by a process that has ended. Later it may be
+        // that of a newer process.
         let _ = std::fs::remove_file(&self.socket_path);
-        match UnixListener::bind(&self.socket_path) {
-            Ok(listener) => Some(listener),
-            Err(e) => {
-                tracing::warn!(
-                    "{}: {e}; can't listen for a newer process, so an upgrade will interrupt service",
+        let mut is_logged = false;
+        loop {
+            match UnixListener::bind(&self.socket_path) {
+                Ok(listener) => return listener,
+                Err(e) if !is_logged => tracing::warn!(
+                    "{}: {e}; can't listen for a newer process, so an upgrade will interrupt service; retrying",
                     self.socket_path.display()
-                );
-                None
+                ),
+                Err(_) => {}
             }
+            is_logged = true;
+            sleep(BIND_RETRY_INTERVAL).await;
         }
     }
 
--- a/crates/hillstall/tests/proxy/disk_faults.rs
+++ b/crates/hillstall/tests/proxy/disk_faults.rs
@@ -131,3 +131,21 @@
         open_incident(admin, "after");
     }
 }
+
+// Guards against a process that no newer one can take over from, because the folder they share failed at its start.
+#[test]
+fn a_process_can_be_upgraded_although_the_shared_folder_failed_at_its_start() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let shared = folder.path().join("shared");
+    let backend = Backend::answering(OK);
+    let discovery =
+        Discovery::start(Some(endpoint_list(5, true, &[endpoint("b0", backend.address, "ready")])));
+    let config = platform_config(discovery.address, &endpoint_list(0, true, &[]));
+    let variable = format!("TMPDIR={}", shared.display());
+    let _proxy = Proxy::start_with_shell(&format!("{variable} exec \"$0\""), &config);
+    thread::sleep(FAILING);
+    std::fs::create_dir(&shared).expect("the folder works");
+    wait_until("the process listens for a newer one", || {
+        std::fs::read_dir(&shared).expect("the folder").count() == 1
+    });
+}
