--- a/crates/fault-injection/src/fleet.rs
+++ b/crates/fault-injection/src/fleet.rs
@@ -178,6 +178,7 @@
     pub restarted_weight: Cell<f64>,
     /// How the instances coordinate; `None` if they do not.
     pub coordination: Option<CoordinationOptions>,
+    environment: Vec<(String, String)>,
     link_by_ends: HashMap<LinkEnds, usize>,
     incarnations: Rc<RefCell<Vec<u32>>>,
     supervisor: RefCell<ProcessSupervisor>,
@@ -201,6 +202,8 @@
     pub settings_fault: Option<SettingsFault>,
     /// How the instances coordinate; `None` if they do not.
     pub coordination: Option<CoordinationOptions>,
+    /// Further environment variables of the proxies.
+    pub environment: Vec<(String, String)>,
     /// The folder for configurations, logs and stored replicas.
     pub folder: &'a Path,
 }
@@ -249,7 +252,7 @@
     /// Starts all parts of a fleet, and waits until all proxies are ready; the backends listen only then.
     #[allow(clippy::too_many_lines, reason = "starts the parts in order of dependency")]
     pub async fn start(plan: FleetPlan<'_>) -> Result<Rc<Fleet>, FleetError> {
-        let FleetPlan { program, parameters, seed, settings_fault, coordination, folder } = plan;
+        let FleetPlan { program, parameters, seed, settings_fault, coordination, environment, folder } = plan;
         let history = Rc::new(History::default());
         let connection_links = ConnectionLinks::default();
         let link_processes: Rc<RefCell<Vec<usize>>> = Rc::default();
@@ -367,6 +370,7 @@
             discovery_servers,
             restarted_weight: Cell::new(1.0),
             coordination,
+            environment,
             link_by_ends: links.iter().enumerate().map(|(index, (ends, _))| (*ends, index)).collect(),
             links,
             incarnations,
@@ -477,14 +481,17 @@
                 .into_iter()
                 .chain(operator_arguments)
                 .collect(),
-            environment: vec![
+            environment: [
                 ("NODE_NAME".into(), process.name.clone()),
                 ("NODE_LISTEN".into(), process.address().to_string()),
                 ("NODE_DISCOVERY".into(), discovery.to_string()),
                 ("NODE_ADMIN_ADDR".into(), process.admin().to_string()),
                 ("NODE_CONFIG".into(), text(&config_path)),
                 ("TMPDIR".into(), text(&process.folder.join("tmp"))),
-            ],
+            ]
+            .into_iter()
+            .chain(self.environment.iter().cloned())
+            .collect(),
             log: process.log(),
         };
         self.incarnations.borrow_mut()[number] += 1;
--- a/crates/fault-injection/src/run.rs
+++ b/crates/fault-injection/src/run.rs
@@ -34,6 +34,8 @@
     pub settings_fault: Option<SettingsFault>,
     /// How the instances coordinate; `None` if they do not.
     pub coordination: Option<crate::coordination_fleet::CoordinationOptions>,
+    /// Further environment variables of the proxies.
+    pub environment: Vec<(String, String)>,
     /// Runs beside the requests, from the first one on; stopped if it still runs shortly after the last has
     /// ended.
     pub script: Option<Script>,
@@ -117,6 +119,7 @@
         seed,
         settings_fault: options.settings_fault,
         coordination: options.coordination,
+        environment: options.environment,
         folder,
     })
     .await?;
--- a/crates/fault-injection/src/system_faults.rs
+++ b/crates/fault-injection/src/system_faults.rs
@@ -10,7 +10,10 @@
 use tempfile::TempDir;
 
 /// Source of the library.
-const SOURCE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/shims/system_faults.c");
+const SOURCE: &str = include_str!("../shims/system_faults.c");
+const LIBRARY_NAME: &str = "system_faults.so";
+/// Name of the mapped file.
+const FILE_NAME: &str = "faults";
 /// Environment variable with the path of the mapped file.
 const FILE_VARIABLE: &str = "HILLSTALL_SYSTEM_FAULTS";
 /// Number of slots in the file; each is one 64-bit integer.
@@ -101,13 +104,12 @@
     }
 }
 
-const LIBRARY_NAME: &str = "system_faults.so";
-const FILE_NAME: &str = "faults";
-
 fn compile(library: &Path) -> Result<()> {
+    let source = library.with_extension("c");
+    std::fs::write(&source, SOURCE)?;
     let mut compiler = Command::new("cc");
-    compiler.args(["-shared", "-fPIC", "-O1", "-Wall", "-Werror", "-o"]).arg(library);
-    let output = compiler.args([SOURCE, "-ldl"]).output()?;
+    compiler.args(["-shared", "-fPIC", "-O1", "-Wall", "-Werror", "-o"]).arg(library).arg(source);
+    let output = compiler.arg("-ldl").output()?;
     if output.status.success() {
         return Ok(());
     }
--- a/crates/hillstall/src/fault_injection.rs
+++ b/crates/hillstall/src/fault_injection.rs
@@ -2,7 +2,7 @@
 
 use crate::output::{print, write_json_lines, FileError};
 use hillstall_fault_injection::invariant_checker::{overshoot, Verdict};
-use hillstall_fault_injection::soak::{self, SoakPlan, SoakSummary};
+use hillstall_fault_injection::soak::{self, SoakOptions, SoakPlan, SoakSummary};
 use hillstall_fault_injection::{Options, ScenarioRun};
 use hillstall_simulation::experiment::{self, Mean};
 use hillstall_simulation::policy::PolicyName;
@@ -93,14 +93,19 @@
 /// reported as an error after all seeds have run.
 pub fn soak_shutdowns(
     seeds: &[u64],
+    with_system_faults: bool,
     program: Option<PathBuf>,
     output_folder: Option<&Path>,
 ) -> Result<(), FaultInjectionError> {
     let program = program.map_or_else(std::env::current_exe, Ok).map_err(FaultInjectionError::OwnPath)?;
     let (mut passed, mut void, mut failed_seeds) = (0, 0, Vec::new());
     for seed in seeds {
-        let keep = output_folder.map(|folder| folder.join(format!("seed-{seed}")));
-        let run = soak::run(&program, *seed, keep, None)
+        let options = SoakOptions {
+            output_folder: output_folder.map(|folder| folder.join(format!("seed-{seed}"))),
+            with_system_faults,
+            injected_fault: None,
+        };
+        let run = soak::run(&program, *seed, options)
             .map_err(|error| FaultInjectionError::Run { scenario: SOAK_NAME.into(), source: error.into() })?;
         match run.verdict {
             Verdict::Passed => passed += 1,
--- a/crates/hillstall/src/simulation.rs
+++ b/crates/hillstall/src/simulation.rs
@@ -39,9 +39,10 @@
             let seeds: Vec<u64> = (first_seed..first_seed.saturating_add(seeds)).collect();
             inject_faults(&scenario, &seeds, &RunOptions { output_folder, with_simulation, json })
         }
-        Command::ShutdownSoak { first_seed, seeds, program, output_folder } => {
+        Command::ShutdownSoak { first_seed, seeds, with_system_faults, program, output_folder } => {
             let seeds: Vec<u64> = (first_seed..first_seed.saturating_add(seeds)).collect();
-            Ok(fault_injection::soak_shutdowns(&seeds, program, output_folder.as_deref())?)
+            let folder = output_folder.as_deref();
+            Ok(fault_injection::soak_shutdowns(&seeds, with_system_faults, program, folder)?)
         }
         Command::FleetRatio { scenario, instances, loads, options } => {
             fleet_ratio(&scenario, &instances, &loads, &options)
--- a/crates/hillstall/src/simulation/arguments.rs
+++ b/crates/hillstall/src/simulation/arguments.rs
@@ -106,6 +106,9 @@
         /// Number of seeds, run one after another
         #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1_000))]
         seeds: u64,
+        /// Make system calls of the proxies fail as well, at times drawn from the seed (needs `cc`)
+        #[arg(long = "system-faults")]
+        with_system_faults: bool,
         /// Proxy program to test, instead of this one
         #[arg(long, value_name = "FILE")]
         program: Option<PathBuf>,
--- a/crates/hillstall/tests/fault_injection/harness.rs
+++ b/crates/hillstall/tests/fault_injection/harness.rs
@@ -6,7 +6,7 @@
 use hillstall_fault_injection::history::History;
 use hillstall_fault_injection::invariant_checker::{Rule, Verdict};
 use hillstall_fault_injection::run::Script;
-use hillstall_fault_injection::soak::InjectedFault;
+use hillstall_fault_injection::soak::{InjectedFault, SoakOptions};
 use hillstall_fault_injection::tcp_proxy::TransferredBytes;
 use hillstall_fault_injection::{Options, ScenarioRun};
 use hillstall_simulation::scenarios;
@@ -92,8 +92,17 @@
 
 /// Runs the shutdown soak with a seed. `injected_fault`, if any, runs beside it to violate an invariant.
 pub fn run_soak(seed: u64, injected_fault: Option<InjectedFault>) -> ValidRun {
+    run_soak_with(seed, || SoakOptions { injected_fault, ..SoakOptions::default() })
+}
+
+/// Like [`run_soak`], with system calls that fail as drawn from the seed.
+pub fn run_soak_with_system_faults(seed: u64) -> ValidRun {
+    run_soak_with(seed, || SoakOptions { with_system_faults: true, ..SoakOptions::default() })
+}
+
+fn run_soak_with(seed: u64, options: impl Fn() -> SoakOptions) -> ValidRun {
     run_until_valid(&format!("soak of seed {seed}"), || {
-        hillstall_fault_injection::soak::run(hillstall_path(), seed, None, injected_fault)
+        hillstall_fault_injection::soak::run(hillstall_path(), seed, options())
             .expect("the run can be carried out")
     })
 }
