Documentation of public items links to public items only

Cause: a doc comment of the incident's change named a private constant, which fails the documentation check. Change: it says so in words. Measured: cargo doc passes with warnings denied.

--- a/crates/proxy-core/src/sockets.rs
+++ b/crates/proxy-core/src/sockets.rs
@@ -91,8 +91,8 @@
     out_of_descriptors(error) || error.raw_os_error().is_some_and(|number| LOCAL.contains(&number))
 }
 
-/// Opens a socket by `open`, which is repeated while it fails for a cause that may be over in a moment, for at
-/// most [`MAX_LOCAL_FAULT`].
+/// Opens a socket by `open`, which is repeated for some seconds while it fails for a cause that may be over in a
+/// moment.
 ///
 /// # Errors
 ///
